--- /dev/null
+++ b/drill/src/table.rs
@@ -0,0 +1,335 @@
+//! The table of instances: one router each, with its own names of workers and functions.
+
+use crate::wire::{Conf, Entry, Line, Reply};
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::io::Write;
+use tansyrouter as t;
+use tansyrouter::{Action, Event, FunctionId, RequestId, Router, Span, Time, WorkerId};
+
+struct Instance {
+    router: Router,
+    fields: Vec<String>,
+    worker_ids: BTreeMap<String, WorkerId>,
+    worker_names: BTreeMap<WorkerId, String>,
+    function_names: BTreeMap<FunctionId, String>,
+}
+
+impl Instance {
+    /// A worker's number: a hash of its name, the same at every front end; the next free one on a collision.
+    fn worker(&mut self, name: &str) -> WorkerId {
+        if let Some(id) = self.worker_ids.get(name) {
+            return *id;
+        }
+        let mut hash = fnv::FnvHasher::default();
+        hash.write(name.as_bytes());
+        let mut id = WorkerId(hash.finish());
+        while self.worker_names.contains_key(&id) {
+            id = WorkerId(id.0.wrapping_add(1));
+        }
+        self.worker_ids.insert(name.to_string(), id);
+        self.worker_names.insert(id, name.to_string());
+        id
+    }
+
+    fn function(&mut self, name: &str) -> Result<FunctionId, String> {
+        if name.len() != 16 {
+            return Err(format!("callee {name:?} is not 16 hex digits"));
+        }
+        let id =
+            u64::from_str_radix(name, 16).map_err(|_| format!("callee {name:?} is not 16 hex digits"))?;
+        self.function_names.entry(FunctionId(id)).or_insert_with(|| name.to_string());
+        Ok(FunctionId(id))
+    }
+
+    fn report(&self, row: Option<Vec<Option<f64>>>) -> Option<t::LoadReport> {
+        let row = row?;
+        let mut report = t::LoadReport::default();
+        for (name, value) in self.fields.iter().zip(row) {
+            let slot = match name.as_str() {
+                "depth" => &mut report.queued,
+                "concurrent" => &mut report.held,
+                "load_share" => &mut report.busy,
+                "x0" => &mut report.memory_pinned,
+                "x1" => &mut report.loads,
+                "mean_ms" => &mut report.mean_ms,
+                "tps" => &mut report.served_per_s,
+                "err_ps" => &mut report.errors_per_s,
+                _ => continue,
+            };
+            *slot = value;
+        }
+        Some(report)
+    }
+}
+
+/// All instances of this process.
+#[derive(Default)]
+pub struct Table {
+    now: Time,
+    instances: BTreeMap<u64, Instance>,
+    actions: Vec<(u64, Action)>,
+    scratch: Vec<Action>,
+}
+
+fn span(seconds: f64) -> Span {
+    (seconds * 1e6).round() as Span
+}
+
+fn seconds(span: i64) -> f64 {
+    span as f64 / 1e6
+}
+
+impl Table {
+    pub fn set_clock(&mut self, moment_s: f64) {
+        self.now = Time(span(moment_s));
+    }
+
+    pub fn take(&mut self, line: Line) -> Result<(), String> {
+        let (end, event) = match line {
+            Line::Up { end, salt, conf } => {
+                let router = Router::new(settings(&conf)?, salt, self.now).map_err(|e| e.to_string())?;
+                let fields = conf.telemetry.fields.clone();
+                self.instances.insert(
+                    end,
+                    Instance {
+                        router,
+                        fields,
+                        worker_ids: BTreeMap::new(),
+                        worker_names: BTreeMap::new(),
+                        function_names: BTreeMap::new(),
+                    },
+                );
+                return Ok(());
+            }
+            Line::Shutdown { end } => {
+                self.instances.remove(&end);
+                self.actions.retain(|a| a.0 != end);
+                return Ok(());
+            }
+            Line::Mail { .. } => return Ok(()),
+            Line::Targets { end, mode, entries } => {
+                let kind = match mode {
+                    1 => t::ListKind::Cached,
+                    2 => t::ListKind::Failed,
+                    3 => t::ListKind::Full,
+                    4 => t::ListKind::Changes,
+                    other => return Err(format!("mode {other} of Targets is unknown")),
+                };
+                let i = self.instance(end)?;
+                let entries = entries.iter().map(|e| entry(i, e)).collect::<Result<_, _>>()?;
+                (end, Event::Workers { kind, entries })
+            }
+            Line::Arrival(a) => {
+                let i = self.instance(a.end)?;
+                let function = i.function(&a.callee)?;
+                let arrival = t::Arrival {
+                    request: RequestId(a.req),
+                    function,
+                    class: a.tier_class,
+                    tenant: a.party,
+                    budget: span(a.time_budget_s),
+                    work_hint: a.weight_hint_s.filter(|_| a.marks & 1 != 0).map(span),
+                    lanes: a.width as u32,
+                    memory_mb: a.ram_mb,
+                    load_time: a.start_ms.map(|ms| span(ms / 1e3)),
+                    repeat: a.marks & 2 != 0,
+                };
+                (a.end, Event::Arrival(arrival))
+            }
+            Line::Timer { end, nonce } => (end, Event::Timer { token: nonce.parse().unwrap_or(u64::MAX) }),
+            Line::UnderWay { end, req, hop } => {
+                (end, Event::StreamBegan { request: RequestId(req), attempt: hop })
+            }
+            Line::Done(d) => {
+                let i = self.instance(d.end)?;
+                let done = t::AttemptDone {
+                    request: RequestId(d.req),
+                    attempt: d.hop,
+                    worker: i.worker(&d.worker),
+                    outcome: outcome(d.result),
+                    concluded: d.no_more,
+                    latency: span(d.latency_s),
+                    note: match d.note % 8 {
+                        1 => t::Note::Warm,
+                        2 => t::Note::BeganLoad,
+                        3 => t::Note::AwaitedLoad,
+                        4 => t::Note::LoadFailed,
+                        _ => t::Note::Silent,
+                    },
+                    crowd: Some(d.note / 8),
+                    report: i.report(d.health_info),
+                };
+                (d.end, Event::AttemptDone(done))
+            }
+            Line::Dropped { end, req } => (end, Event::Departed { request: RequestId(req) }),
+            Line::HealthResult { end, worker, result, latency_s, health_info } => {
+                let i = self.instance(end)?;
+                let (worker, report) = (i.worker(&worker), i.report(health_info));
+                (end, Event::ProbeDone { worker, outcome: outcome(result), latency: span(latency_s), report })
+            }
+            Line::LoadDone { end, worker, callee, result, latency_s, number } => {
+                let i = self.instance(end)?;
+                let (worker, function) = (i.worker(&worker), i.function(&callee)?);
+                let (outcome, latency) = (outcome(result), span(latency_s));
+                (end, Event::OrderDone { worker, function, outcome, latency, instances: number })
+            }
+            Line::Clock { .. } | Line::Commit {} => return Err("not an event".into()),
+        };
+        let now = self.now;
+        let mut scratch = std::mem::take(&mut self.scratch);
+        self.instance(end)?.router.handle(now, event, &mut scratch);
+        self.actions.extend(scratch.drain(..).map(|a| (end, a)));
+        self.scratch = scratch;
+        Ok(())
+    }
+
+    fn instance(&mut self, end: u64) -> Result<&mut Instance, String> {
+        self.instances.get_mut(&end).ok_or_else(|| format!("instance {end} is not up"))
+    }
+
+    pub fn reply(&mut self, seq: u64, output: &mut dyn Write) -> std::io::Result<()> {
+        for (end, action) in self.actions.drain(..) {
+            let Some(i) = self.instances.get(&end) else { continue };
+            let w = |id: WorkerId| i.worker_names.get(&id).map_or("", String::as_str);
+            let f = |id: FunctionId| i.function_names.get(&id).map_or("", String::as_str);
+            let reply = match action {
+                Action::Send { request, worker, give_up } => Reply::HandOff {
+                    end,
+                    req: request.0,
+                    worker: w(worker),
+                    cut_at_s: give_up.map(|t| seconds(t.0)),
+                },
+                Action::Refuse { request, stay_away } => Reply::Deny {
+                    end,
+                    req: request.0,
+                    stay_away_s: Some(seconds(stay_away)).filter(|s| *s > 0.0),
+                },
+                Action::Fail { request } => Reply::GiveUp { end, req: request.0 },
+                Action::Cancel { request, attempt } => Reply::Revoke { end, req: request.0, hop: attempt },
+                Action::Probe { worker } => Reply::AskLoad { end, worker: w(worker) },
+                Action::Load { worker, function, instances } => {
+                    Reply::StartCopy { end, callee: f(function), number: instances, worker: w(worker) }
+                }
+                Action::Unload { worker, function } => {
+                    Reply::LetCool { end, callee: f(function), worker: w(worker) }
+                }
+                Action::SetTimer { at, token } => {
+                    Reply::After { end, alarm_time_s: seconds(at.0), nonce: token.to_string() }
+                }
+                Action::FetchList => Reply::Reload { end },
+                Action::Subscribe => Reply::Listen { end, want: true },
+            };
+            serde_json::to_writer(&mut *output, &reply)?;
+            output.write_all(b"\n")?;
+        }
+        serde_json::to_writer(&mut *output, &Reply::Ok { seq })?;
+        output.write_all(b"\n")?;
+        output.flush()
+    }
+}
+
+fn outcome(r: crate::wire::Result) -> t::Outcome {
+    use crate::wire::Result as R;
+    match r {
+        R::Served => t::Outcome::Served,
+        R::ServerError => t::Outcome::Error,
+        R::TurnedAway => t::Outcome::TurnedAway,
+        R::NoAnswer => t::Outcome::TimedOut,
+        R::NoConnection => t::Outcome::ConnectFailed,
+        R::ConnectionLost => t::Outcome::ConnectionLost,
+        R::CalledOff => t::Outcome::Cancelled,
+        R::NotSent => t::Outcome::NotSent,
+        R::NotStored => t::Outcome::NotLoaded,
+    }
+}
+
+fn entry(i: &mut Instance, e: &Entry) -> Result<t::WorkerEntry, String> {
+    Ok(t::WorkerEntry {
+        worker: i.worker(&e.worker),
+        kind: e.kind,
+        cell: e.cell,
+        zone: e.dc,
+        state: match e.health {
+            1 => t::WorkerState::Ready,
+            2 => t::WorkerState::Gone,
+            3 => t::WorkerState::Draining,
+            other => return Err(format!("health {other} of {} is unknown", e.worker)),
+        },
+        started: Some(Time(span(e.last_start_s))).filter(|t| t.0 != 0),
+        share: e.share,
+    })
+}
+
+fn settings(c: &Conf) -> Result<t::Settings, String> {
+    let class = |k: &crate::wire::Class| {
+        let group = match k.group.as_str() {
+            "zone" => t::Group::Zone,
+            "cell" => t::Group::Cell,
+            _ => t::Group::All,
+        };
+        let effect = match k.effect.as_str() {
+            "read_like" => t::Effect::Safe,
+            "idempotency_key" => t::Effect::Keyed { group, window: span(k.repeat_window_s) },
+            "non_idempotent" => t::Effect::Unsafe,
+            other => return Err(format!("effect {other:?} is unknown")),
+        };
+        Ok(t::Class {
+            aim: span(k.aim_s),
+            aim_stretch: k.aim_stretch,
+            deadline: span(k.deadline_s),
+            effect,
+            worth: k.gain,
+            late_worth: k.late_worth,
+            streamed: k.streamed,
+        })
+    };
+    let (l, r, s, base) = (&c.policy_limits, &c.rules, &c.specifics, t::Settings::default());
+    let tenant = |n: &crate::wire::Tenant| t::Tenant { quota_per_s: n.quota_per_s, fraction: n.fraction };
+    Ok(t::Settings {
+        me: c.me,
+        siblings: c.siblings,
+        zone: c.locality,
+        classes: c.classes.iter().map(class).collect::<Result<_, String>>()?,
+        tenants: c.tenants.iter().map(tenant).collect(),
+        over_quota_worth: c.over_share_worth,
+        worth_by_work: c.value_by == "work",
+        list_pushed: c.discovery != "on_request",
+        ask_within: span(r.ask_within_s),
+        may_cancel: l.cancel,
+        may_probe: l.probes,
+        may_order: s.orders,
+        may_double: l.second_copies,
+        max_attempts: l.max_attempts.unwrap_or(base.max_attempts),
+        max_held: l.most_held.unwrap_or(base.max_held),
+        max_stay_away: if l.retry_after { span(l.max_retry_after_s) } else { 0 },
+        connect_timeout: span(l.connect_timeout_s),
+        when_absent: if s.when_absent == "miss" { t::WhenAbsent::Miss } else { t::WhenAbsent::Load },
+        idle_life: span(s.idle_life_s),
+        order_timeout: span(s.load_wait_s),
+        ration: (s.load_period_s > 0.0).then(|| t::Ration {
+            free: s.load_free,
+            part: s.load_part,
+            period: span(s.load_period_s),
+        }),
+        tells_warm: s.says_warm,
+        tells_crowd: s.tells_crowd,
+        reports: match c.telemetry.how.as_str() {
+            "piggyback" => t::Reports::Attached,
+            "pull" => t::Reports::Pulled,
+            _ => t::Reports::Absent,
+        },
+        kind_memory_mb: s.kind_memory_mb.clone(),
+        cross_zone_price: c.prices.cross_zone,
+        fetch_price: c.prices.origin,
+        idle_price: s.price_of_idle,
+        probe_price: c.prices.probe,
+        cold_from: r.cold_from,
+        warm_up: span(r.warm_up_s),
+        fall_multiple: r.fall_multiple,
+        fall_after: span(r.fall_s),
+        drain_grace: span(r.drain_grace_s),
+        answer_slack: span(r.answer_slack_s),
+        tick: span(c.tick_s),
+    })
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,213 @@
+//! The rules and the mechanism, tried through the public interface.
+
+use tansyrouter::*;
+
+const MS: i64 = 1_000;
+
+fn worker(id: u64, state: WorkerState, started: Option<Time>) -> WorkerEntry {
+    WorkerEntry { worker: WorkerId(id), state, started, share: 1.0, cell: id, zone: id as usize % 2, kind: 0 }
+}
+
+struct Bench {
+    router: Router,
+    now: Time,
+    out: Vec<Action>,
+}
+
+impl Bench {
+    fn new(set: Settings) -> Bench {
+        Bench { router: Router::new(set, 1, Time(0)).unwrap(), now: Time(0), out: Vec::new() }
+    }
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        self.out.clear();
+        self.router.handle(self.now, event, &mut self.out);
+        self.out.iter().filter(|a| !matches!(a, Action::SetTimer { .. })).cloned().collect()
+    }
+    fn list(&mut self, kind: ListKind, entries: Vec<WorkerEntry>) -> Vec<Action> {
+        self.tell(Event::Workers { kind, entries })
+    }
+    fn ready(&mut self, n: u64) {
+        let entries = (1..=n).map(|i| worker(i, WorkerState::Ready, None)).collect();
+        self.list(ListKind::Full, entries);
+    }
+    fn call(&mut self, request: u64, function: u64, class: usize, budget: Span) -> Vec<Action> {
+        self.tell(Event::Arrival(Arrival {
+            request: RequestId(request),
+            function: FunctionId(function),
+            class,
+            tenant: 0,
+            budget,
+            work_hint: None,
+            lanes: 1,
+            memory_mb: 300.0,
+            load_time: Some(500 * MS),
+            repeat: false,
+        }))
+    }
+    fn done(&mut self, request: u64, attempt: u32, worker: WorkerId, outcome: Outcome) -> Vec<Action> {
+        self.tell(Event::AttemptDone(AttemptDone {
+            request: RequestId(request),
+            attempt,
+            worker,
+            outcome,
+            concluded: outcome == Outcome::Served,
+            latency: 100 * MS,
+            note: Note::Warm,
+            crowd: None,
+            report: None,
+        }))
+    }
+    fn loaded(&mut self, worker: WorkerId, function: u64, outcome: Outcome) -> Vec<Action> {
+        let instances = (outcome == Outcome::Served) as u32;
+        let function = FunctionId(function);
+        self.tell(Event::OrderDone { worker, function, outcome, latency: 500 * MS, instances })
+    }
+    fn wait(&mut self, span: Span) -> Vec<Action> {
+        let mut all = Vec::new();
+        let end = self.now.plus(span);
+        while self.now < end {
+            self.now = self.now.plus(10 * MS);
+            all.extend(self.tell(Event::Timer { token: 0 }));
+        }
+        all
+    }
+    /// Brings a function up and has one call of it sent; tells where.
+    fn sent(&mut self, request: u64, function: u64, class: usize) -> WorkerId {
+        let at = ordered(&self.call(request, function, class, 5_000 * MS)).expect("a load");
+        sent(&self.loaded(at, function, Outcome::Served)).expect("a send")
+    }
+}
+
+fn ordered(actions: &[Action]) -> Option<WorkerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Load { worker, instances: 1.., .. } => Some(*worker),
+        _ => None,
+    })
+}
+
+fn sent(actions: &[Action]) -> Option<WorkerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { worker, .. } => Some(*worker),
+        _ => None,
+    })
+}
+
+fn of(effect: Effect) -> Settings {
+    let mut s = Settings::default();
+    s.classes[0].effect = effect;
+    s.classes[0].late_worth = 0.1;
+    s
+}
+
+#[test]
+fn a_call_without_an_instance_is_held_for_a_load_and_sent_where_it_stands() {
+    let mut b = Bench::new(of(Effect::Safe));
+    b.ready(3);
+    let at = b.sent(1, 9, 0);
+    b.done(1, 0, at, Outcome::Served);
+    assert_eq!(sent(&b.call(2, 9, 0, 5_000 * MS)), Some(at), "a warm free lane is used");
+    assert_eq!(sent(&b.call(3, 9, 0, 5_000 * MS)), None, "with the lane taken the next one is held");
+    assert_eq!(sent(&b.done(2, 0, at, Outcome::Served)), Some(at), "the returning lane goes to the line");
+}
+
+#[test]
+fn held_calls_are_refused_before_their_own_budget_ends() {
+    let mut b = Bench::new(of(Effect::Unsafe));
+    b.ready(1);
+    b.call(1, 9, 0, 300 * MS);
+    let actions = b.wait(300 * MS);
+    assert!(actions.contains(&Action::Refuse { request: RequestId(1), stay_away: 0 }));
+}
+
+#[test]
+fn an_unsafe_call_that_may_have_run_fails_and_is_not_sent_again() {
+    for o in [Outcome::Error, Outcome::TimedOut, Outcome::ConnectionLost, Outcome::Cancelled] {
+        let mut b = Bench::new(of(Effect::Unsafe));
+        b.ready(3);
+        let at = b.sent(1, 9, 0);
+        let actions = b.done(1, 0, at, o);
+        assert!(actions.contains(&Action::Fail { request: RequestId(1) }), "{o:?}: {actions:?}");
+        assert_eq!(sent(&actions), None);
+    }
+}
+
+#[test]
+fn an_unsafe_call_proven_not_run_is_sent_again() {
+    for o in [Outcome::TurnedAway, Outcome::ConnectFailed, Outcome::NotLoaded, Outcome::NotSent] {
+        let mut b = Bench::new(of(Effect::Unsafe));
+        b.ready(3);
+        let at = b.sent(1, 9, 0);
+        let mut actions = b.done(1, 0, at, o);
+        assert!(!actions.contains(&Action::Fail { request: RequestId(1) }), "{o:?}");
+        if let Some(w) = ordered(&actions) {
+            actions = b.loaded(w, 9, Outcome::Served);
+        }
+        actions.extend(b.wait(1_000 * MS));
+        assert!(sent(&actions).is_some(), "{o:?}");
+    }
+}
+
+#[test]
+fn a_draining_gone_or_omitted_worker_gets_nothing_new() {
+    for how in 0..3 {
+        let mut b = Bench::new(of(Effect::Safe));
+        b.ready(1);
+        let at = b.sent(1, 9, 0);
+        b.done(1, 0, at, Outcome::Served);
+        let entries = match how {
+            0 => vec![worker(1, WorkerState::Draining, None)],
+            1 => vec![worker(1, WorkerState::Gone, None)],
+            _ => Vec::new(),
+        };
+        b.list(if how == 2 { ListKind::Full } else { ListKind::Changes }, entries);
+        let mut actions = b.call(2, 9, 0, 2_000 * MS);
+        actions.extend(b.call(3, 10, 0, 2_000 * MS));
+        actions.extend(b.wait(2_000 * MS));
+        assert_eq!((sent(&actions), ordered(&actions)), (None, None), "{how}");
+        b.list(ListKind::Changes, vec![worker(1, WorkerState::Ready, None)]);
+        assert_eq!(ordered(&b.call(4, 11, 0, 2_000 * MS)), Some(WorkerId(1)), "back under the same id");
+    }
+}
+
+#[test]
+fn a_restarted_worker_is_taken_as_empty_and_gets_a_cold_budget() {
+    let mut b = Bench::new(Settings { siblings: 3, ..of(Effect::Safe) });
+    b.ready(1);
+    let at = b.sent(1, 9, 0);
+    b.done(1, 0, at, Outcome::Served);
+    b.now = b.now.plus(1_000 * MS);
+    b.list(ListKind::Changes, vec![worker(1, WorkerState::Ready, Some(b.now))]);
+    let mut sends = 0;
+    for i in 0..40 {
+        let actions = b.call(100 + i, 20 + i, 0, 5_000 * MS);
+        if let Some(w) = ordered(&actions) {
+            sends += sent(&b.loaded(w, 20 + i, Outcome::Served)).is_some() as u32;
+            b.done(100 + i, 0, w, Outcome::NotLoaded);
+        }
+    }
+    assert!((1..=3).contains(&sends), "misses weigh too: {sends} sends in the first moment");
+}
+
+#[test]
+fn load_orders_stay_within_the_ration() {
+    let ration = Some(Ration { free: 2.0, part: 0.25, period: 5_000 * MS });
+    let mut b = Bench::new(Settings { ration, ..of(Effect::Safe) });
+    b.ready(8);
+    let mut orders = 0;
+    for i in 0..40 {
+        b.now = b.now.plus(10 * MS);
+        let actions = b.call(i, 100 + i, 0, 5_000 * MS);
+        if let Some(w) = ordered(&actions) {
+            orders += 1;
+            b.loaded(w, 100 + i, Outcome::Served);
+        }
+        assert!(orders as f64 <= 2.0 + 0.25 * (i + 1) as f64);
+    }
+    assert!(orders > 5, "and are used: {orders}");
+}
+
+#[test]
+fn settings_without_sense_are_an_error() {
+    let none = Settings { classes: Vec::new(), ..Settings::default() };
+    assert!(Router::new(none, 1, Time(0)).err().unwrap().to_string().contains("no class"));
+}
