--- a/src/rules.rs
+++ b/src/rules.rs
@@ -149,23 +149,20 @@
     next_sweep: Time,
     timer_at: Option<Time>,
     listed_at: Time,
+    last_event: Time,
 }
 
 impl Router {
     /// A router that knows nothing yet. The seed is for its random numbers.
     pub fn new(set: Settings, seed: u64, now: Time) -> Result<Router, BadSettings> {
-        let bad = |why: &str| Err(BadSettings(why.to_string()));
-        if set.classes.is_empty() {
-            return bad("no class of requests");
-        }
-        if set.classes.iter().any(|c| c.aim <= 0 || c.deadline <= 0) {
-            return bad("a class whose aim or deadline is not above zero");
-        }
-        if set.siblings == 0 {
-            return bad("no front end, not even this one");
-        }
-        if set.max_attempts == 0 {
-            return bad("no attempt allowed");
+        let faults = [
+            (set.classes.is_empty(), "no class of requests"),
+            (set.classes.iter().any(|c| c.aim <= 0 || c.deadline <= 0), "an aim or deadline not above zero"),
+            (set.siblings == 0, "no front end, not even this one"),
+            (set.max_attempts == 0, "no attempt allowed"),
+        ];
+        if let Some((_, why)) = faults.iter().find(|f| f.0) {
+            return Err(BadSettings(why.to_string()));
         }
         Ok(Router {
             rng: fastrand::Rng::with_seed(seed),
@@ -190,15 +187,22 @@
             carried_at: now,
             next_sweep: now,
             timer_at: None,
-            listed_at: now,
+            listed_at: now.plus(-set.ask_within),
+            last_event: now,
             set,
         })
     }
 
     /// Takes one event and adds to `out` what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        // EXCEPTION: after a stall of our own, silence says nothing about the workers: their clocks start
+        // anew. Also right for a suspended machine. Harm: a silent worker is found that much later.
+        if now.since(self.last_event) > 5 * SWEEP {
+            self.workers.values_mut().for_each(|w| w.heard = now);
+        }
+        self.last_event = now;
         match event {
-            Event::Workers { kind, entries } => self.on_list(now, kind, entries, out),
+            Event::Workers { kind, entries } => self.on_list(now, kind, entries),
             Event::Arrival(a) => self.on_arrival(now, a),
             Event::Timer { .. } => {}
             Event::StreamBegan { request, .. } => {
@@ -218,6 +222,7 @@
             self.sweep(now, out);
             self.next_sweep = now.plus(SWEEP);
         }
+        self.answer_due(now, out);
         self.pump(now, out);
         if self.timer_at.map_or(true, |t| t <= now) {
             self.timer_at = Some(self.next_sweep);
@@ -227,12 +232,9 @@
 
     // ---- Workers ----
 
-    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<WorkerEntry>, out: &mut Vec<Action>) {
-        if !self.set.list_pushed && (kind == ListKind::Failed || kind == ListKind::Cached) {
-            out.push(Action::Subscribe);
-            self.listed_at = now;
-        }
+    fn on_list(&mut self, now: Time, kind: ListKind, entries: Vec<WorkerEntry>) {
         if kind == ListKind::Failed {
+            self.listed_at = self.listed_at.plus(-self.set.ask_within / 4);
             return;
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
@@ -276,8 +278,8 @@
         self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::Ready)
     }
 
-    /// EXCEPTION: when most workers look bad the trouble is shared (the store, our own view), and shunning
-    /// them all would turn it into an outage of our making: suspicion is then set aside. Harm: a true loss of most
+    /// EXCEPTION: when most workers look bad the trouble is shared (the store, our own view), and
+    /// shunning them all would turn it into an outage of our making: suspicion is then set aside. Harm: a true loss of most
     /// workers is met with sends into the void until the list tells.
     fn retreat(&self) -> bool {
         let (all, bad) = self.ready().fold((0, 0), |(a, b), (_, w)| (a + 1, b + w.suspect as usize));
@@ -299,7 +301,8 @@
         let seen = self.carried * w.entry.share / shares.max(w.entry.share);
         let mine = seen.max(1.0 / self.set.siblings as f64);
         let budget = self.set.fall_multiple * part * mine * self.set.fall_after as f64;
-        let spent: f64 = w.sends.iter().filter(|s| now.since(s.0) <= self.set.fall_after).map(|s| s.1).sum();
+        let since = now.plus(-self.set.fall_after).max(started);
+        let spent: f64 = w.sends.iter().filter(|s| s.0 >= since).map(|s| s.1).sum();
         spent + weight <= budget
     }
 
@@ -357,16 +360,22 @@
         }
     }
 
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
-        if r.concluded {
-            return;
+    /// EXCEPTION (rule 1): what can't be held until the next sweep is answered at once: held calls near
+    /// their end, and calls that come with no time left, as after a stall of this front end. A pending
+    /// attempt may answer until the very end. Harm: a call refused some milliseconds early.
+    fn answer_due(&mut self, now: Time, out: &mut Vec<Action>) {
+        let soon = now.plus(2 * self.set.tick + SWEEP);
+        let due = self.deadlines.range(..(soon, RequestId(u64::MAX)));
+        let over = due.filter(|(at, id)| *at <= now || self.requests.get(id).is_some_and(|r| !r.pending()));
+        for id in over.map(|k| k.1).collect::<Vec<_>>() {
+            self.finish(id, out);
         }
-        out.push(if self.may_refuse(r) {
-            Action::Refuse { request: id, stay_away: 0 }
-        } else {
-            Action::Fail { request: id }
-        });
+    }
+
+    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id).filter(|r| !r.concluded) else { return };
+        let refuse = Action::Refuse { request: id, stay_away: 0 };
+        out.push(if self.may_refuse(r) { refuse } else { Action::Fail { request: id } });
         self.conclude(id);
     }
 
@@ -538,8 +547,7 @@
                     }
                     self.work_done += self.class_service[class];
                 }
-                Outcome::NotLoaded => p.warm = false,
-                Outcome::ConnectFailed | Outcome::ConnectionLost => p.warm = false,
+                Outcome::NotLoaded | Outcome::ConnectFailed | Outcome::ConnectionLost => p.warm = false,
                 Outcome::TurnedAway => {
                     p.barred_until = now.plus(usual as Span);
                     p.others = lanes;
@@ -682,9 +690,7 @@
         let Some((_, wid)) = best else { return };
         if direct {
             self.send(now, id, wid, out);
-            return;
-        }
-        if let (Some(f), Some(w)) = (self.functions.get_mut(&fid), self.workers.get_mut(&wid)) {
+        } else if let (Some(f), Some(w)) = (self.functions.get_mut(&fid), self.workers.get_mut(&wid)) {
             f.places.entry(wid).or_default().ordered = Some(now);
             w.loads += 1;
             self.loads_out += 1;
@@ -795,16 +801,6 @@
             self.listed_at = now;
         }
         self.watch(now, out);
-        // Owed answers whose time is up. A pending attempt may still answer until the very end.
-        let soon = now.plus(2 * self.set.tick + SWEEP);
-        let due: Vec<(Time, RequestId)> =
-            self.deadlines.range(..(soon, RequestId(u64::MAX))).copied().collect();
-        for (at, id) in due {
-            let Some(r) = self.requests.get(&id) else { continue };
-            if !r.pending() || at <= now {
-                self.finish(id, out);
-            }
-        }
         // Held calls: those now late step back; those that can't earn any more are refused.
         let ids: Vec<RequestId> = self.line.iter().map(|k| k.2).collect();
         for id in ids {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -211,3 +211,30 @@
     let none = Settings { classes: Vec::new(), ..Settings::default() };
     assert!(Router::new(none, 1, Time(0)).err().unwrap().to_string().contains("no class"));
 }
+
+/// Incidents i7100b7 and i39140c: a stalled front end is handed calls whose time has already run out.
+#[test]
+fn a_call_without_time_left_is_answered_in_the_same_breath() {
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        let mut b = Bench::new(of(effect));
+        b.ready(1);
+        for (i, budget) in [0, 3 * MS, -5].into_iter().enumerate() {
+            let actions = b.call(i as u64, 9, 0, budget);
+            let request = RequestId(i as u64);
+            assert!(actions.contains(&Action::Refuse { request, stay_away: 0 }), "{actions:?}");
+        }
+    }
+}
+
+/// Incident i7100b7: after a stall of our own, no worker is blamed for the silence.
+#[test]
+fn a_stall_of_our_own_blames_no_worker() {
+    let mut b = Bench::new(of(Effect::Safe));
+    b.ready(2);
+    let at = b.sent(1, 9, 0);
+    b.done(1, 0, at, Outcome::Served);
+    b.call(2, 9, 0, 5_000 * MS);
+    b.now = b.now.plus(3_000 * MS);
+    let actions = b.tell(Event::Timer { token: 0 });
+    assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })), "{actions:?}");
+}
