Judge a silent worker by summed evidence; cap at once the measured concurrency

Now silence adds up over all calls that wait at a worker, in usual answer times. Should also hold against heavy calls; harm: a silent worker with a single call waiting is found later.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,13 +10,14 @@
 /// How often held calls and silent workers are looked over, microseconds. Well under any human-scale aim.
 const SWEEP: Span = 10_000;
 /// Instances wanted per unit of measured concurrency: two, so that a burst of twice the mean finds a lane.
-const HEADROOM: f64 = 2.0;
+const HEADROOM: f64 = 1.0;
 /// Part of the idle life after which a belief lapses: the rest covers travel and late sweeps.
 const LAPSE: f64 = 0.9;
 /// Loads of ours in hand at one worker: workers run few at a time, and siblings order there too.
 const LOADS_AT_WORKER: usize = 2;
-/// Mean deviations over the mean that an answer may take before silence is a symptom (as TCP's retransmit).
-const PATIENCE: f64 = 4.0;
+/// Silence of a worker that is a symptom, in usual answer times (mean and deviation) summed over the calls
+/// that wait there: were answer times exponential, one silence in e^6, about 400, would be chance.
+const PATIENCE: f64 = 6.0;
 /// Weight of one sample in slow averages.
 const GAIN: f64 = 0.1;
 /// Calls in flight a worker is given at first; learned from there.
@@ -279,8 +280,8 @@
     }
 
     /// EXCEPTION: when most workers look bad the trouble is shared (the store, our own view), and
-    /// shunning them all would turn it into an outage of our making: suspicion is then set aside. Harm: a true loss of most
-    /// workers is met with sends into the void until the list tells.
+    /// shunning them all would turn it into an outage of our making: suspicion is then set aside. Harm: a
+    /// true loss of most workers is met with sends into the void until the list tells.
     fn retreat(&self) -> bool {
         let (all, bad) = self.ready().fold((0, 0), |(a, b), (_, w)| (a + 1, b + w.suspect as usize));
         2 * bad > all
@@ -819,23 +820,24 @@
     /// Looks for workers that answer nothing though their peers do, tests the suspects, and frees from them
     /// the calls that may be repeated.
     fn watch(&mut self, now: Time, out: &mut Vec<Action>) {
-        let typical = self.answers.mean + PATIENCE * self.answers.dev;
-        let patience = if self.answers.mean > 0.0 { typical } else { self.class_service[0] * PATIENCE };
+        let unit = if self.answers.mean > 0.0 {
+            self.answers.mean + self.answers.dev
+        } else {
+            self.class_service[0] * 2.0
+        };
         let ids: Vec<WorkerId> = self.workers.keys().copied().collect();
         for wid in &ids {
             let Some(w) = self.workers.get(wid) else { continue };
-            if w.suspect {
-                continue;
-            }
-            let silent = w.out.iter().any(|(sent, id)| {
-                let Some(r) = self.requests.get(id) else { return false };
-                let tries = r.attempts.len().saturating_sub(1).min(6) as i32;
-                let bound = patience.max(PATIENCE * self.expected(r)) * 2f64.powi(tries);
-                now.since((*sent).max(w.heard)) as f64 > bound
+            // The evidence adds up over all that waits there: one long call alone proves little, several
+            // that all keep silent prove more. A call that was already taken from one suspect counts less.
+            let evidence = w.out.iter().filter_map(|(sent, id)| {
+                let r = self.requests.get(id)?;
+                let age = now.since((*sent).max(w.heard)) as f64;
+                Some(age / unit.max(self.expected(r)) / r.attempts.len().max(1) as f64)
             });
-            if silent {
+            if !w.suspect && evidence.sum::<f64>() > PATIENCE {
                 if let Some(w) = self.workers.get_mut(wid) {
-                    Self::suspect(w, now, patience as Span);
+                    Self::suspect(w, now, unit as Span);
                 }
             }
         }
