--- a/src/rules.rs
+++ b/src/rules.rs
@@ -106,7 +106,7 @@
     places: BTreeMap<WorkerId, Place>,
 }
 
-/// A mean and a mean deviation, both in microseconds.
+/// A mean and a mean deviation.
 #[derive(Default, Clone, Copy)]
 struct Typical {
     mean: f64,
@@ -136,7 +136,7 @@
     ghosts: Vec<(Time, FunctionId, WorkerId)>,
     class_service: Vec<f64>,
     buckets: Vec<(f64, Time)>,
-    answers: Typical,
+    stretch: Typical,
     load_took: Typical,
     load_stretch: f64,
     loads_out: usize,
@@ -175,7 +175,7 @@
             ghosts: Vec::new(),
             class_service: set.classes.iter().map(|c| c.aim as f64 * FIRST_SERVICE).collect(),
             buckets: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
-            answers: Typical::default(),
+            stretch: Typical::default(),
             load_took: Typical::default(),
             load_stretch: 1.0,
             loads_out: 0,
@@ -475,6 +475,11 @@
         }
     }
 
+    /// The same with what queues and chance add, as lately seen: a time it will most likely keep.
+    fn usual(&self, r: &Request) -> f64 {
+        self.expected(r) * (self.stretch.mean + self.stretch.dev).clamp(1.0, PATIENCE)
+    }
+
     fn on_done(&mut self, now: Time, d: AttemptDone, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&d.request) else { return };
         let Some(a) = r.attempts.get_mut(d.attempt as usize) else { return };
@@ -539,7 +544,7 @@
                         if let (Some(r), true) = (self.requests.get(&d.request), f.mean_hint > 0.0) {
                             x *= r.hint.map_or(1.0, |h| f.mean_hint / h as f64);
                         }
-                        self.answers.add(d.latency.max(1) as f64);
+                        self.stretch.add(d.latency.max(1) as f64 / usual.max(1.0));
                         // A low estimate: falls fast, rises slowly, so that queues weigh little.
                         let step = |old: f64| old + (x - old) * if x < old { 2.0 * GAIN } else { GAIN / 2.0 };
                         f.service = Some(f.service.map_or(x, step));
@@ -615,7 +620,7 @@
             return Some(*w);
         }
         let last_chance = r.aim_at.since(now) - (self.expected(r) as Span) < 2 * SWEEP;
-        if last_chance && now < r.aim_at {
+        if false && last_chance && now < r.aim_at {
             return warm().min_by_key(|(_, p)| p.in_flight).map(|(w, _)| *w);
         }
         None
@@ -820,11 +825,6 @@
     /// Looks for workers that answer nothing though their peers do, tests the suspects, and frees from them
     /// the calls that may be repeated.
     fn watch(&mut self, now: Time, out: &mut Vec<Action>) {
-        let unit = if self.answers.mean > 0.0 {
-            self.answers.mean + self.answers.dev
-        } else {
-            self.class_service[0] * 2.0
-        };
         let ids: Vec<WorkerId> = self.workers.keys().copied().collect();
         for wid in &ids {
             let Some(w) = self.workers.get(wid) else { continue };
@@ -833,11 +833,11 @@
             let evidence = w.out.iter().filter_map(|(sent, id)| {
                 let r = self.requests.get(id)?;
                 let age = now.since((*sent).max(w.heard)) as f64;
-                Some(age / unit.max(self.expected(r)) / r.attempts.len().max(1) as f64)
+                Some(age / self.usual(r) / r.attempts.len().max(1) as f64)
             });
             if !w.suspect && evidence.sum::<f64>() > PATIENCE {
                 if let Some(w) = self.workers.get_mut(wid) {
-                    Self::suspect(w, now, unit as Span);
+                    Self::suspect(w, now, self.set.connect_timeout);
                 }
             }
         }
