--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 const LOADS_AT_WORKER: usize = 2;
 /// Silence of a worker that is a symptom, in usual answer times (mean and deviation) summed over the calls
 /// that wait there: were answer times exponential, one silence in e^6, about 400, would be chance.
-const PATIENCE: f64 = 6.0;
+const PATIENCE: f64 = 10.0;
 /// Weight of one sample in slow averages.
 const GAIN: f64 = 0.1;
 /// Calls in flight a worker is given at first; learned from there.
