--- a/src/rules.rs
+++ b/src/rules.rs
@@ -491,28 +491,26 @@
             w.out.remove(&(sent, d.request));
             w.in_flight = w.in_flight.saturating_sub(1);
             let took = d.latency.max(0) as f64;
-            match d.outcome {
-                Outcome::Served | Outcome::Error | Outcome::TurnedAway | Outcome::NotLoaded => {
-                    w.heard = now;
-                    if d.outcome == Outcome::Served || d.outcome == Outcome::Error {
-                        w.suspect = false;
-                    }
-                    let warm = matches!(d.note, Note::Warm | Note::Silent);
-                    let crowded = d.outcome == Outcome::TurnedAway
-                        || (d.outcome == Outcome::Served && warm && took > aim / 2.0 && took > 2.0 * usual);
-                    if crowded {
-                        if now.since(w.cut_at) > usual as Span {
-                            w.limit = (w.limit * 0.8).max(1.0);
-                            w.cut_at = now;
-                        }
-                    } else if d.outcome == Outcome::Served && w.in_flight as f64 + 1.5 >= w.limit {
-                        w.limit += 1.0 / w.limit.max(1.0);
-                    }
-                }
-                Outcome::ConnectFailed | Outcome::ConnectionLost => {
-                    Self::suspect(w, now, self.set.connect_timeout)
+            let heard = !matches!(d.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent);
+            let lost = matches!(d.outcome, Outcome::ConnectFailed | Outcome::ConnectionLost);
+            let ran = matches!(d.outcome, Outcome::Served | Outcome::Error);
+            let warm = matches!(d.note, Note::Warm | Note::Silent);
+            if lost {
+                Self::suspect(w, now, self.set.connect_timeout);
+            } else if heard {
+                w.heard = now;
+                w.suspect &= !ran;
+            }
+            // What a worker holds of ours is bounded by what comes back in good time, whatever slows it:
+            // siblings' calls, few cores, memory, a jam. Harm: it gives up some room to chance.
+            let slow = ran && warm && took > aim / 2.0 && took > 2.0 * usual;
+            if slow || matches!(d.outcome, Outcome::TurnedAway | Outcome::TimedOut) {
+                if now.since(w.cut_at) > usual as Span {
+                    w.limit = (w.limit * 0.8).max(1.0);
+                    w.cut_at = now;
                 }
-                _ => {}
+            } else if ran && w.in_flight as f64 + 1.5 >= w.limit {
+                w.limit += 1.0 / w.limit.max(1.0);
             }
         }
         if let Some(f) = self.functions.get_mut(&fid) {
