--- a/src/rules.rs
+++ b/src/rules.rs
@@ -645,7 +645,8 @@
         let (Some(f), Some(r)) = (self.functions.get(&fid), self.requests.get(&id)) else { return };
         let service = f.service.unwrap_or(self.class_service[f.class]);
         let life = self.set.idle_life.max(SECOND) as f64;
-        let busy = f.rate / life * service;
+        // The siblings take about as much of it and name the same places, so the places are shared by all.
+        let busy = f.rate / life * service * self.set.siblings as f64;
         let cap = 1 + (HEADROOM * busy / f.lanes as f64) as usize;
         let wait = self.load_wait(f);
         let have = f
