Refuse late calls while calls that can be in time wait for a lane

Cause: under overload calls past their aim kept lanes from those that could still make it, and so made them late in turn. Harm: the small worth of late answers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -795,13 +795,19 @@
         }
         self.watch(now, out);
         // Held calls: those now late step back; those that can't earn any more are refused.
+        // EXCEPTION: while calls that can still be in time wait for a lane or for room (not for a load), the
+        // late ones are refused: serving them would make the next ones late too. Harm: their small worth.
+        let contended = self.line.iter().any(|(rank, _, id)| {
+            let f = self.requests.get(id).and_then(|r| self.functions.get(&r.function));
+            *rank < 2 && f.is_some_and(|f| f.places.values().any(|p| self.alive(p, now)))
+        });
         let ids: Vec<RequestId> = self.line.iter().map(|k| k.2).collect();
         for id in ids {
             let Some(r) = self.requests.get(&id) else { continue };
             let late = now.since(r.aim_at) + self.expected(r) as Span > 0;
             let lost = now.since(r.deadline) + self.expected(r) as Span > 0;
             let worthless = self.set.classes[r.class].late_worth <= 0.0 && late;
-            if lost || worthless || !self.repeatable(r, None, now) {
+            if lost || worthless || late && contended || !self.repeatable(r, None, now) {
                 self.finish(id, out);
             } else if late && r.line.is_some_and(|l| l.0 < 2) {
                 self.enline(id, now);
