--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,6 +15,8 @@
 const LAPSE: f64 = 0.9;
 /// Loads of ours in hand at one worker: workers run few at a time, and siblings order there too.
 const LOADS_AT_WORKER: usize = 2;
+/// A load that takes so many times the quick ones is slow: the store is crowded or ill.
+const SLOW_LOAD: f64 = 4.0;
 /// Silence of a worker that is a symptom, in usual answer times (mean and deviation) summed over the calls
 /// that wait there: were answer times exponential, one silence in e^6, about 400, would be chance.
 const PATIENCE: f64 = 10.0;
@@ -138,7 +140,7 @@
     buckets: Vec<(f64, Time)>,
     answers: Typical,
     load_took: Typical,
-    load_stretch: f64,
+    load_low: f64,
     loads_out: usize,
     load_window: f64,
     load_cut: Time,
@@ -177,7 +179,7 @@
             buckets: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
             answers: Typical::default(),
             load_took: Typical::default(),
-            load_stretch: 1.0,
+            load_low: 0.0,
             loads_out: 0,
             load_window: 0.0,
             load_cut: now,
@@ -694,10 +696,10 @@
 
     /// How long a load of this function should take now.
     fn load_wait(&self, f: &Function) -> Span {
-        let usual = match f.told_load {
-            Some(t) => t as f64 * self.load_stretch,
-            None if self.load_took.mean > 0.0 => self.load_took.mean,
-            None => SECOND as f64,
+        let usual = match (f.told_load, self.load_took.mean) {
+            (Some(t), mean) => t as f64 * mean.max(1.0),
+            (None, mean) if mean > 0.0 => mean,
+            _ => SECOND as f64,
         };
         usual.min(self.set.order_timeout as f64) as Span
     }
@@ -718,24 +720,14 @@
     fn on_order(&mut self, now: Time, wid: WorkerId, fid: FunctionId, o: Outcome, took: Span, n: u32) {
         let heard = matches!(o, Outcome::Served | Outcome::TurnedAway | Outcome::Error);
         self.on_test(wid, heard);
-        let mut ordered = false;
-        if let Some(f) = self.functions.get_mut(&fid) {
-            let p = f.places.entry(wid).or_default();
-            ordered = p.ordered.take().is_some();
-            p.copies = n;
-            p.warm = n > 0;
-            p.touched = now;
-            if o != Outcome::Served {
-                p.barred_until = now.plus(SECOND / 2);
-            }
-            let told = f.told_load;
-            if ordered && o == Outcome::Served {
-                self.load_took.add(took.max(0) as f64);
-                if let Some(t) = told {
-                    self.load_stretch += GAIN * (took.max(0) as f64 / t as f64 - self.load_stretch);
-                    self.load_stretch = self.load_stretch.clamp(1.0, 10.0);
-                }
-            }
+        let Some(f) = self.functions.get_mut(&fid) else { return };
+        let p = f.places.entry(wid).or_default();
+        let ordered = p.ordered.take().is_some();
+        p.copies = n;
+        p.warm = n > 0;
+        p.touched = now;
+        if o != Outcome::Served {
+            p.barred_until = now.plus(SECOND / 2);
         }
         if !ordered {
             return;
@@ -747,13 +739,22 @@
                 Self::suspect(w, now, self.set.connect_timeout);
             }
         }
-        match o {
-            Outcome::Served => self.load_window += 1.0 / self.load_window.max(1.0),
-            Outcome::Error if now.since(self.load_cut) > SECOND => {
+        // EXCEPTION: loads in hand are bounded by how they go, as sends are: a store that fails or slows, for
+        // whatever reason, is not pushed further. Harm: after a release of many functions loads queue with us.
+        let x = took.max(0) as f64 / f.told_load.map_or(1.0, |t| t as f64);
+        let loaded = o == Outcome::Served && took > self.set.connect_timeout;
+        if loaded {
+            self.load_took.add(x);
+            let old = if self.load_low > 0.0 { self.load_low } else { x };
+            self.load_low = old + (x - old) * if x < old { 2.0 * GAIN } else { GAIN / 10.0 };
+        }
+        if o == Outcome::Error || loaded && x > SLOW_LOAD * self.load_low {
+            if now.since(self.load_cut) > SECOND {
                 self.load_window = (self.load_window / 2.0).max(1.0);
                 self.load_cut = now;
             }
-            _ => {}
+        } else if loaded {
+            self.load_window += 1.0 / self.load_window.max(1.0);
         }
     }
 
