--- a/src/rules.rs
+++ b/src/rules.rs
@@ -750,7 +750,7 @@
         }
         if o == Outcome::Error || loaded && x > SLOW_LOAD * self.load_low {
             if now.since(self.load_cut) > SECOND {
-                self.load_window = (self.load_window / 2.0).max(1.0);
+                self.load_window = (self.load_window * 0.8).max(1.0);
                 self.load_cut = now;
             }
         } else if loaded {
