Under contention refuse what will likely be late, not only what must be

While others wait that can make it, a call is refused once the usual answer time (mean and deviation) no longer fits. Harm: some calls that would have been lucky are refused.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -808,7 +808,9 @@
             let late = now.since(r.aim_at) + self.expected(r) as Span > 0;
             let lost = now.since(r.deadline) + self.expected(r) as Span > 0;
             let worthless = self.set.classes[r.class].late_worth <= 0.0 && late;
-            if lost || worthless || late && contended || !self.repeatable(r, None, now) {
+            let tight =
+                now.since(r.aim_at) as f64 + self.expected(r).max(self.answers.mean + self.answers.dev) > 0.0;
+            if lost || worthless || tight && contended || !self.repeatable(r, None, now) {
                 self.finish(id, out);
             } else if late && r.line.is_some_and(|l| l.0 < 2) {
                 self.enline(id, now);
