--- a/src/rules.rs
+++ b/src/rules.rs
@@ -739,8 +739,8 @@
                 Self::suspect(w, now, self.set.connect_timeout);
             }
         }
-        // EXCEPTION: loads in hand are bounded by how they go, as sends are: a store that fails or slows, for
-        // whatever reason, is not pushed further. Harm: after a release of many functions loads queue with us.
+        // EXCEPTION: loads in hand are bounded by how they go, as sends are: a store that fails or slows is
+        // not pushed further. Harm: after a release of many functions loads queue with us.
         let x = took.max(0) as f64 / f.told_load.map_or(1.0, |t| t as f64);
         let loaded = o == Outcome::Served && took > self.set.connect_timeout;
         if loaded {
