Health of a place, not only of its worker; functions long unused are forgotten; tidy-up

A silent place now rests and another may be loaded. Should also hold against a stuck instance or a bad image.

--- a/src/api.rs
+++ b/src/api.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct WorkerId(pub u64);
 /// A function that is loaded on demand: the same number at every front end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct FunctionId(pub u64);
 
 /// Workers among which repeats of a keyed request are dropped.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,8 @@
 const PATIENCE: f64 = 10.0;
 /// Weight of one sample in slow averages.
 const GAIN: f64 = 0.1;
+/// Idle lives after its last call that a function is remembered: its instances are long gone by then.
+const FORGET: Span = 4;
 /// Calls in flight a worker is given at first; learned from there.
 const FIRST_LIMIT: f64 = 4.0;
 /// Guess of a service time before any answer, as a part of the class's aim.
@@ -44,6 +46,7 @@
     cancelled: bool,
 }
 
+#[derive(Default)]
 struct Request {
     class: usize,
     function: FunctionId,
@@ -94,6 +97,7 @@
     others: u32,
     others_until: Time,
     barred_until: Time,
+    silences: u32,
 }
 
 #[derive(Default)]
@@ -126,6 +130,17 @@
     }
 }
 
+/// Loads in hand, and how loads go: their times are over the told time of a load where that is told.
+#[derive(Default)]
+struct Loads {
+    took: Typical,
+    low: f64,
+    out: usize,
+    window: f64,
+    cut: Time,
+    orders: VecDeque<Time>,
+}
+
 /// One front end's decisions. See the crate's example.
 pub struct Router {
     set: Settings,
@@ -139,12 +154,7 @@
     class_service: Vec<f64>,
     buckets: Vec<(f64, Time)>,
     answers: Typical,
-    load_took: Typical,
-    load_low: f64,
-    loads_out: usize,
-    load_window: f64,
-    load_cut: Time,
-    orders: VecDeque<Time>,
+    loads: Loads,
     arrivals: VecDeque<Time>,
     work_done: f64,
     carried: f64,
@@ -178,12 +188,7 @@
             class_service: set.classes.iter().map(|c| c.aim as f64 * FIRST_SERVICE).collect(),
             buckets: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
             answers: Typical::default(),
-            load_took: Typical::default(),
-            load_low: 0.0,
-            loads_out: 0,
-            load_window: 0.0,
-            load_cut: now,
-            orders: VecDeque::new(),
+            loads: Loads { cut: now, ..Loads::default() },
             arrivals: VecDeque::new(),
             work_done: 0.0,
             carried: 0.0,
@@ -227,7 +232,7 @@
         }
         self.answer_due(now, out);
         self.pump(now, out);
-        if self.timer_at.map_or(true, |t| t <= now) {
+        if self.timer_at.is_none_or(|t| t <= now) {
             self.timer_at = Some(self.next_sweep);
             out.push(Action::SetTimer { at: self.next_sweep, token: 0 });
         }
@@ -242,39 +247,27 @@
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let named: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
-            for (id, w) in self.workers.iter_mut() {
-                if !named.contains(id) {
-                    w.entry.state = WorkerState::Gone;
-                }
-            }
+            let omitted = self.workers.iter_mut().filter(|(id, _)| !named.contains(id));
+            omitted.for_each(|(_, w)| w.entry.state = WorkerState::Gone);
         }
         for mut e in entries {
             if !(e.share.is_finite() && e.share > 0.0) {
                 e.share = 1.0;
             }
             let id = e.worker;
-            match self.workers.get_mut(&id) {
-                Some(w) => {
-                    let restarted = e.started > w.entry.started;
-                    w.entry = e;
-                    if restarted {
-                        // A restart voids what was believed of the process before it, not what came after.
-                        let since = w.entry.started.unwrap_or(now);
-                        w.suspect = false;
-                        w.limit = FIRST_LIMIT;
-                        let places = self.functions.values_mut().filter_map(|f| f.places.get_mut(&id));
-                        places.filter(|p| p.touched < since).for_each(|p| p.warm = false);
-                    }
-                }
-                None => {
-                    let w =
-                        Worker { entry: e, limit: FIRST_LIMIT, cut_at: now, heard: now, ..Worker::default() };
-                    self.workers.insert(id, w);
-                }
+            let before = self.workers.get(&id).map(|w| w.entry.started);
+            let since = e.started.unwrap_or(now);
+            let w = self.workers.entry(id).or_default();
+            if before.is_none_or(|b| e.started > b) {
+                // A restart voids what was believed of the process before it, not what came after.
+                (w.suspect, w.limit, w.cut_at, w.heard) = (false, FIRST_LIMIT, now, now);
+                let places = self.functions.values_mut().filter_map(|f| f.places.get_mut(&id));
+                places.filter(|p| p.touched < since).for_each(|p| p.warm = false);
             }
+            w.entry = e;
         }
         let ready = self.ready().count() as f64;
-        self.load_window = self.load_window.max(ready * LOADS_AT_WORKER as f64 / self.set.siblings as f64);
+        self.loads.window = self.loads.window.max(ready * LOADS_AT_WORKER as f64 / self.set.siblings as f64);
     }
 
     fn ready(&self) -> impl Iterator<Item = (&WorkerId, &Worker)> {
@@ -394,10 +387,8 @@
     }
 
     fn unline(&mut self, id: RequestId) {
-        if let Some(r) = self.requests.get_mut(&id) {
-            if let Some((rank, at)) = r.line.take() {
-                self.line.remove(&(rank, at, id));
-            }
+        if let Some((rank, at)) = self.requests.get_mut(&id).and_then(|r| r.line.take()) {
+            self.line.remove(&(rank, at, id));
         }
     }
 
@@ -419,10 +410,8 @@
         }
         let class = a.class.min(self.set.classes.len() - 1);
         self.arrivals.push_back(now);
-        let f = self
-            .functions
-            .entry(a.function)
-            .or_insert_with(|| Function { rate_at: now, ..Function::default() });
+        let new = || Function { rate_at: now, ..Function::default() };
+        let f = self.functions.entry(a.function).or_insert_with(new);
         f.lanes = a.lanes.max(1);
         f.told_load = a.load_time.filter(|t| *t > 0);
         f.class = class;
@@ -448,21 +437,10 @@
         let stretch = if c.aim_stretch.is_finite() { c.aim_stretch } else { 0.0 };
         let aim = c.aim + (stretch * hint.unwrap_or(0) as f64) as Span;
         let deadline = now.plus(a.budget.max(0));
-        self.requests.insert(
-            a.request,
-            Request {
-                class,
-                function: a.function,
-                aim_at: now.plus(aim.min(c.deadline)),
-                deadline,
-                over_quota,
-                hint,
-                attempts: Vec::new(),
-                streaming: false,
-                concluded: false,
-                line: None,
-            },
-        );
+        let aim_at = now.plus(aim.min(c.deadline));
+        let function = a.function;
+        let r = Request { class, function, aim_at, deadline, over_quota, hint, ..Request::default() };
+        self.requests.insert(a.request, r);
         self.deadlines.insert((deadline, a.request));
         self.enline(a.request, now);
     }
@@ -477,6 +455,16 @@
         }
     }
 
+    /// What an answer usually takes of late, queues and chance included.
+    fn answer_time(&self) -> f64 {
+        let first = 2.0 * self.class_service[0];
+        if self.answers.mean > 0.0 {
+            self.answers.mean + self.answers.dev
+        } else {
+            first
+        }
+    }
+
     fn on_done(&mut self, now: Time, d: AttemptDone, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&d.request) else { return };
         let Some(a) = r.attempts.get_mut(d.attempt as usize) else { return };
@@ -522,6 +510,14 @@
             if goes_on {
                 // The work may go on: it holds its lane for about as long again.
                 self.ghosts.push((now.plus(usual as Span), fid, wid));
+                // EXCEPTION: a place that answered nothing since this call went there rests, longer each
+                // time, whatever its worker does otherwise: a stuck instance, a bad image. Harm: a jammed
+                // place rests too, and loads are ordered elsewhere.
+                if p.touched <= sent {
+                    p.silences += 1;
+                    let rest = SECOND.saturating_mul(1 << p.silences.min(6));
+                    p.barred_until = now.plus(rest.min(self.set.idle_life));
+                }
             } else {
                 p.in_flight = p.in_flight.saturating_sub(1);
             }
@@ -530,6 +526,7 @@
                     p.warm = true;
                     p.copies = p.copies.max(1);
                     p.touched = now;
+                    p.silences = 0;
                     if let Some(c) = d.crowd {
                         p.others = c.saturating_sub(p.in_flight);
                         p.others_until = now.plus(usual as Span);
@@ -557,16 +554,12 @@
                 _ => {}
             }
         }
-        if !owed {
-            self.conclude(d.request);
-        } else if self
-            .requests
-            .get(&d.request)
-            .is_some_and(|r| self.repeatable(r, None, now) && now < r.deadline)
-        {
-            self.enline(d.request, now);
-        } else {
-            self.finish(d.request, out);
+        let request = self.requests.get(&d.request);
+        let again = request.is_some_and(|r| now < r.deadline && self.repeatable(r, None, now));
+        match (owed, again) {
+            (false, _) => self.conclude(d.request),
+            (true, true) => self.enline(d.request, now),
+            (true, false) => self.finish(d.request, out),
         }
     }
 
@@ -598,13 +591,20 @@
         p.warm && (p.in_flight > 0 || now.since(p.touched) < (self.set.idle_life as f64 * LAPSE) as Span)
     }
 
+    /// Silent for long, or at rest for it: it does not count as a place, so that another may be loaded.
+    fn stuck(&self, p: &Place, now: Time) -> bool {
+        let silent = now.since(p.last_send.max(p.touched)) as f64;
+        now < p.barred_until || p.in_flight > 0 && silent > PATIENCE / 2.0 * self.answer_time()
+    }
+
     /// The mechanism: the least recently used of the warm places with a free lane.
     /// A call about to miss its aim is held like any other: sent on to a queue it made others late too.
     fn pick(&self, r: &Request, retreat: bool, now: Time) -> Option<WorkerId> {
         let f = self.functions.get(&r.function)?;
         let warm = || {
             f.places.iter().filter(|(w, p)| {
-                self.alive(p, now) && now >= p.barred_until && self.may_send(r, **w, retreat, now)
+                let sound = p.silences == 0 || self.set.classes[r.class].effect == Effect::Safe;
+                self.alive(p, now) && now >= p.barred_until && sound && self.may_send(r, **w, retreat, now)
             })
         };
         let free = |p: &Place| {
@@ -656,6 +656,7 @@
             .iter()
             .filter(|(w, p)| {
                 self.open(**w, retreat)
+                    && !self.stuck(p, now)
                     && (self.alive(p, now) || p.ordered.is_some_and(|t| now.since(t) < 3 * wait))
             })
             .count();
@@ -663,7 +664,7 @@
             return;
         }
         let direct = !self.set.may_order;
-        if !direct && (self.loads_out as f64 >= self.load_window.max(1.0) || !allowed) {
+        if !direct && (self.loads.out as f64 >= self.loads.window.max(1.0) || !allowed) {
             return;
         }
         let mut best: Option<(f64, WorkerId)> = None;
@@ -678,7 +679,7 @@
                 continue;
             }
             let score = rendezvous(fid, *wid, w.entry.share);
-            if best.map_or(true, |b| score > b.0) {
+            if best.is_none_or(|b| score > b.0) {
                 best = Some((score, *wid));
             }
         }
@@ -688,15 +689,15 @@
         } else if let (Some(f), Some(w)) = (self.functions.get_mut(&fid), self.workers.get_mut(&wid)) {
             f.places.entry(wid).or_default().ordered = Some(now);
             w.loads += 1;
-            self.loads_out += 1;
-            self.orders.push_back(now);
+            self.loads.out += 1;
+            self.loads.orders.push_back(now);
             out.push(Action::Load { worker: wid, function: fid, instances: 1 });
         }
     }
 
     /// How long a load of this function should take now.
     fn load_wait(&self, f: &Function) -> Span {
-        let usual = match (f.told_load, self.load_took.mean) {
+        let usual = match (f.told_load, self.loads.took.mean) {
             (Some(t), mean) => t as f64 * mean.max(1.0),
             (None, mean) if mean > 0.0 => mean,
             _ => SECOND as f64,
@@ -710,11 +711,11 @@
         while self.arrivals.front().is_some_and(|t| now.since(*t) >= period - self.set.tick) {
             self.arrivals.pop_front();
         }
-        while self.orders.front().is_some_and(|t| now.since(*t) > period + self.set.tick) {
-            self.orders.pop_front();
+        while self.loads.orders.front().is_some_and(|t| now.since(*t) > period + self.set.tick) {
+            self.loads.orders.pop_front();
         }
         let Some(r) = self.set.ration else { return true };
-        self.orders.len() as f64 + 1.0 <= r.free + r.part * self.arrivals.len() as f64
+        self.loads.orders.len() as f64 + 1.0 <= r.free + r.part * self.arrivals.len() as f64
     }
 
     fn on_order(&mut self, now: Time, wid: WorkerId, fid: FunctionId, o: Outcome, took: Span, n: u32) {
@@ -732,7 +733,7 @@
         if !ordered {
             return;
         }
-        self.loads_out = self.loads_out.saturating_sub(1);
+        self.loads.out = self.loads.out.saturating_sub(1);
         if let Some(w) = self.workers.get_mut(&wid) {
             w.loads = w.loads.saturating_sub(1);
             if matches!(o, Outcome::ConnectFailed | Outcome::ConnectionLost | Outcome::TimedOut) {
@@ -744,17 +745,17 @@
         let x = took.max(0) as f64 / f.told_load.map_or(1.0, |t| t as f64);
         let loaded = o == Outcome::Served && took > self.set.connect_timeout;
         if loaded {
-            self.load_took.add(x);
-            let old = if self.load_low > 0.0 { self.load_low } else { x };
-            self.load_low = old + (x - old) * if x < old { 2.0 * GAIN } else { GAIN / 10.0 };
-        }
-        if o == Outcome::Error || loaded && x > SLOW_LOAD * self.load_low {
-            if now.since(self.load_cut) > SECOND {
-                self.load_window = (self.load_window * 0.8).max(1.0);
-                self.load_cut = now;
+            self.loads.took.add(x);
+            let old = if self.loads.low > 0.0 { self.loads.low } else { x };
+            self.loads.low = old + (x - old) * if x < old { 2.0 * GAIN } else { GAIN / 10.0 };
+        }
+        if o == Outcome::Error || loaded && x > SLOW_LOAD * self.loads.low {
+            if now.since(self.loads.cut) > SECOND {
+                self.loads.window = (self.loads.window * 0.8).max(1.0);
+                self.loads.cut = now;
             }
         } else if loaded {
-            self.load_window += 1.0 / self.load_window.max(1.0);
+            self.loads.window += 1.0 / self.loads.window.max(1.0);
         }
     }
 
@@ -764,8 +765,8 @@
         if !w.suspect {
             w.suspect = true;
             w.trial = false;
-            w.test_gap = gap;
-            w.next_test = now.plus(gap);
+            w.test_gap = gap.max(SWEEP);
+            w.next_test = now.plus(w.test_gap);
         }
     }
 
@@ -789,6 +790,10 @@
             self.carried = rate.max(self.carried * 0.99);
             self.work_done = 0.0;
             self.carried_at = now;
+            // What was called once, long ago, is forgotten, or one-off functions would fill our memory.
+            let long = self.set.idle_life.saturating_mul(FORGET).max(self.set.order_timeout);
+            let used = |p: &Place| p.in_flight > 0 || p.ordered.is_some();
+            self.functions.retain(|_, f| now.since(f.rate_at) < long || f.places.values().any(used));
         }
         if !self.set.list_pushed && now.since(self.listed_at) > self.set.ask_within / 2 {
             out.push(Action::Subscribe);
@@ -808,8 +813,7 @@
             let late = now.since(r.aim_at) + self.expected(r) as Span > 0;
             let lost = now.since(r.deadline) + self.expected(r) as Span > 0;
             let worthless = self.set.classes[r.class].late_worth <= 0.0 && late;
-            let tight =
-                now.since(r.aim_at) as f64 + self.expected(r).max(self.answers.mean + self.answers.dev) > 0.0;
+            let tight = now.since(r.aim_at) as f64 + self.expected(r).max(self.answer_time()) > 0.0;
             if lost || worthless || tight && contended || !self.repeatable(r, None, now) {
                 self.finish(id, out);
             } else if late && r.line.is_some_and(|l| l.0 < 2) {
@@ -821,11 +825,7 @@
     /// Looks for workers that answer nothing though their peers do, tests the suspects, and frees from them
     /// the calls that may be repeated.
     fn watch(&mut self, now: Time, out: &mut Vec<Action>) {
-        let unit = if self.answers.mean > 0.0 {
-            self.answers.mean + self.answers.dev
-        } else {
-            self.class_service[0] * 2.0
-        };
+        let unit = self.answer_time();
         let ids: Vec<WorkerId> = self.workers.keys().copied().collect();
         for wid in &ids {
             let Some(w) = self.workers.get(wid) else { continue };
