--- /dev/null
+++ b/drill/tests/wire.rs
@@ -0,0 +1,122 @@
+//! The adapter on hand-written transcripts, good and malformed.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn play(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tansyrouter-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn up(end: u32, salt: u32) -> String {
+    let conf = r#"{"me":0,"siblings":2,"unknown_key":[1],"classes":[{"name":"a","aim_s":0.75,"deadline_s":5,
+        "effect":"read_like","late_worth":0.3}],"discovery":"pushed","policy_limits":{"cancel":true,
+        "max_attempts":6},"rules":{"cold_from":0.2,"fall_multiple":2,"fall_s":2,"warm_up_s":10,
+        "drain_grace_s":1},"specifics":{"idle_life_s":9,"load_wait_s":10,"orders":true,
+        "when_absent":"miss"},"tick_s":0.002}"#
+        .replace('\n', "");
+    let list = r#""mode":1,"epoch":1,"entries":[{"worker":"10.0.0.1:80","health":1,"share":1},{"worker":"10.0.0.2:80","health":1,"dc":1,"share":1.5}]"#;
+    format!(
+        "{{\"kind\":\"Up\",\"end\":{end},\"salt\":{salt},\"conf\":{conf}}}\n{{\"kind\":\"Targets\",\"end\":{end},{list}}}\n"
+    )
+}
+
+fn batch(seq: u32, at: f64, events: &str) -> String {
+    format!("{{\"kind\":\"Clock\",\"moment_s\":{at},\"seq\":{seq}}}\n{events}{{\"kind\":\"Commit\"}}\n")
+}
+
+fn call(end: u32, req: u64) -> String {
+    format!("{{\"kind\":\"Arrival\",\"end\":{end},\"req\":{req},\"width\":2,\"ram_mb\":300,\"callee\":\"0000007c55d20a01\",\"time_budget_s\":2.5,\"new_field\":1}}\n")
+}
+
+fn loaded(end: u32, worker: &str) -> String {
+    format!("{{\"kind\":\"LoadDone\",\"end\":{end},\"worker\":\"{worker}\",\"callee\":\"0000007c55d20a01\",\"result\":\"served\",\"latency_s\":0.5,\"number\":1}}\n")
+}
+
+/// The actions of one instance, without its name and the batch ends.
+fn actions(out: &Output, end: u32) -> Vec<String> {
+    let text = String::from_utf8(out.stdout.clone()).unwrap();
+    let own = format!("\"end\":{end},");
+    text.lines().filter(|l| l.contains(&own)).map(|l| l.replace(&own, "")).collect()
+}
+
+#[test]
+fn a_call_is_ordered_held_and_sent() {
+    let first = batch(1, 5.0, &up(3, 7)) + &batch(2, 5.5, &call(3, 42));
+    let out = play(&first);
+    assert!(out.status.success());
+    let order = actions(&out, 3).into_iter().find(|l| l.contains("StartCopy")).expect("an order");
+    let worker = if order.contains("10.0.0.1:80") { "10.0.0.1:80" } else { "10.0.0.2:80" };
+    let out = play(&(first + &batch(3, 6.0, &loaded(3, worker))));
+    let text = String::from_utf8(out.stdout).unwrap();
+    let send = format!("{{\"kind\":\"HandOff\",\"end\":3,\"req\":42,\"worker\":\"{worker}\"}}");
+    assert!(text.lines().any(|l| l == send), "{text}");
+    assert_eq!(text.lines().filter(|l| l.contains("\"Ok\"")).count(), 3);
+    assert_eq!(text.lines().last(), Some("{\"kind\":\"Ok\",\"seq\":3}"));
+}
+
+#[test]
+fn empty_input_and_empty_batches_end_well() {
+    assert!(play("").status.success());
+    let out = play(&batch(1, 1.0, ""));
+    assert!(out.status.success());
+    assert_eq!(out.stdout, b"{\"kind\":\"Ok\",\"seq\":1}\n");
+}
+
+#[test]
+fn malformed_input_is_named_and_ends_with_an_error() {
+    let good = batch(1, 5.0, &up(0, 1));
+    let line = good.lines().count() + 2;
+    for (bad, why) in [
+        ("not json\n", "expected"),
+        ("{\"kind\":\"Dropped\",\"end\":0}\n", "missing field `req`"),
+        ("{\"kind\":\"Dropped\",\"end\":0,\"req\":\"x\"}\n", "invalid type"),
+        ("{\"kind\":\"Nonsense\",\"end\":0}\n", "unknown variant"),
+        ("{\"kind\":\"Dropped\",\"end\":9,\"req\":1}\n", "instance 9 is not up"),
+        (
+            "{\"kind\":\"Arrival\",\"end\":0,\"req\":1,\"callee\":\"xyz\",\"time_budget_s\":1}\n",
+            "not 16 hex digits",
+        ),
+    ] {
+        let out = play(&(good.clone() + &batch(2, 6.0, bad)));
+        let told = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success(), "{bad}");
+        assert!(told.contains(why) && told.contains(&format!("line {line}:")), "{bad} gave {told}");
+        let text = String::from_utf8(out.stdout).unwrap();
+        assert!(text.lines().all(|l| l.starts_with("{\"kind\":")), "only replies on standard output");
+    }
+}
+
+#[test]
+fn a_batch_cut_short_is_an_error() {
+    let out = play("{\"kind\":\"Clock\",\"moment_s\":1,\"seq\":4}\n");
+    assert!(!out.status.success());
+    assert!(String::from_utf8(out.stderr).unwrap().contains("inside batch 4"));
+}
+
+#[test]
+fn instances_act_alike_in_one_process_and_in_several() {
+    let events = |ends: &[u32]| {
+        let all = |f: &dyn Fn(u32) -> String| ends.iter().map(|e| f(*e)).collect::<String>();
+        let mut text = batch(1, 5.0, &all(&|e| up(e, 7 + e)));
+        for i in 0..40u32 {
+            let at = 5.0 + i as f64 * 0.02;
+            text += &batch(2 + 2 * i, at, &all(&|e| call(e, (100 * e + i) as u64)));
+            let worker = if i % 3 == 0 { "10.0.0.1:80" } else { "10.0.0.2:80" };
+            text += &batch(3 + 2 * i, at + 0.01, &all(&|e| loaded(e, worker)));
+        }
+        text + &batch(90, 9.9, &all(&|e| format!("{{\"kind\":\"Timer\",\"end\":{e},\"nonce\":\"0\"}}\n")))
+    };
+    let together = play(&events(&[1, 2, 3]));
+    for end in 1..=3 {
+        let alone = actions(&play(&events(&[end])), end);
+        assert!(alone.len() > 20);
+        assert_eq!(actions(&together, end), alone);
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -226,12 +226,12 @@
                 self.on_order(now, worker, function, outcome, latency, instances)
             }
         }
+        self.answer_due(now, out);
+        self.pump(now, out);
         if now >= self.next_sweep {
             self.sweep(now, out);
             self.next_sweep = now.plus(SWEEP);
         }
-        self.answer_due(now, out);
-        self.pump(now, out);
         if self.timer_at.is_none_or(|t| t <= now) {
             self.timer_at = Some(self.next_sweep);
             out.push(Action::SetTimer { at: self.next_sweep, token: 0 });
