--- a/src/rules.rs
+++ b/src/rules.rs
@@ -437,7 +437,8 @@
         let stretch = if c.aim_stretch.is_finite() { c.aim_stretch } else { 0.0 };
         let aim = c.aim + (stretch * hint.unwrap_or(0) as f64) as Span;
         let deadline = now.plus(a.budget.max(0));
-        let aim_at = now.plus(aim.min(c.deadline));
+        // A client that leaves before the aim sets the aim.
+        let aim_at = now.plus(aim.min(c.deadline)).min(deadline);
         let function = a.function;
         let r = Request { class, function, aim_at, deadline, over_quota, hint, ..Request::default() };
         self.requests.insert(a.request, r);
@@ -814,7 +815,7 @@
             let lost = now.since(r.deadline) + self.expected(r) as Span > 0;
             let worthless = self.set.classes[r.class].late_worth <= 0.0 && late;
             let tight = now.since(r.aim_at) as f64 + self.expected(r).max(self.answer_time()) > 0.0;
-            if lost || worthless || tight && contended || !self.repeatable(r, None, now) {
+            if lost || worthless || (tight || r.over_quota) && contended || !self.repeatable(r, None, now) {
                 self.finish(id, out);
             } else if late && r.line.is_some_and(|l| l.0 < 2) {
                 self.enline(id, now);
