--- a/src/rules.rs
+++ b/src/rules.rs
@@ -319,7 +319,9 @@
         }
         let ready = w.entry.state == WorkerState::Ready;
         let trial = ready && w.suspect && w.trial && class.effect == Effect::Safe;
-        if !(self.open(wid, retreat) || trial) || w.in_flight as f64 >= w.limit.max(1.0) {
+        // Half the room is for calls within their tenant's quota only: what is over it yields first.
+        let room = if r.over_quota { w.limit / 2.0 } else { w.limit };
+        if !(self.open(wid, retreat) || trial) || w.in_flight as f64 >= room.max(1.0) {
             return false;
         }
         if !self.cold_room(w, self.class_service[r.class], now) {
