--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -238,3 +238,80 @@
     let actions = b.tell(Event::Timer { token: 0 });
     assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })), "{actions:?}");
 }
+
+/// Incident i808d55: one place keeps silent while its worker answers for other functions.
+#[test]
+fn a_silent_place_rests_and_another_is_loaded() {
+    let mut b = Bench::new(of(Effect::Safe));
+    b.ready(3);
+    let at = b.sent(1, 9, 0);
+    b.done(1, 0, at, Outcome::Served);
+    assert_eq!(sent(&b.call(2, 9, 0, 3_000 * MS)), Some(at));
+    let actions = b.done(2, 0, at, Outcome::TimedOut);
+    assert_eq!(sent(&actions), None, "nothing goes back to it at once");
+    assert!(ordered(&actions).is_some_and(|w| w != at), "{actions:?}");
+}
+
+/// Incident i79fff4: a call over its tenant's quota gets the smaller part of a worker's room.
+#[test]
+fn calls_over_quota_yield() {
+    let tenants = vec![Tenant { quota_per_s: 2.0, fraction: 1.0 }];
+    let mut b = Bench::new(Settings { tenants, ..of(Effect::Safe) });
+    b.ready(1);
+    let mut held = 0;
+    for i in 0..4 {
+        let at = ordered(&b.call(i, 20 + i, 0, 5_000 * MS)).expect("a load");
+        held += sent(&b.loaded(at, 20 + i, Outcome::Served)).is_none() as u32;
+    }
+    assert_eq!(held, 2, "two within the quota are sent, the rest finds half the room taken");
+}
+
+#[test]
+fn a_keyed_call_is_repeated_within_its_group_and_window_only() {
+    for (group, window, late) in
+        [(Group::Zone, 4_000, false), (Group::Cell, 4_000, false), (Group::All, 600, true)]
+    {
+        let mut b = Bench::new(of(Effect::Keyed { group, window: window * MS }));
+        b.ready(4);
+        let first = b.sent(1, 9, 0);
+        b.now = b.now.plus(if late { 300 * MS } else { 10 * MS });
+        let mut actions = b.done(1, 0, first, Outcome::ConnectionLost);
+        for _ in 0..60 {
+            if let Some(w) = ordered(&actions) {
+                actions = b.loaded(w, 9, Outcome::Served);
+            }
+            if let Some(w) = sent(&actions) {
+                assert!(!late, "out of its window");
+                assert!(w == first || group == Group::Zone && w.0 % 2 == first.0 % 2, "{group:?}: {w:?}");
+                break;
+            }
+            b.now = b.now.plus(50 * MS);
+            actions = b.tell(Event::Timer { token: 0 });
+        }
+        let refused = actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+        assert!(!refused || group == Group::All, "{group:?} may have run: no refusal");
+    }
+}
+
+#[test]
+fn an_unsafe_call_is_never_taken_back_from_a_silent_worker() {
+    for (effect, cancels) in [(Effect::Safe, true), (Effect::Unsafe, false)] {
+        let mut b = Bench::new(of(effect));
+        b.ready(3);
+        let at = b.sent(1, 9, 0);
+        b.done(1, 0, at, Outcome::Served);
+        b.call(2, 9, 0, 5_000 * MS);
+        let actions = b.wait(4_000 * MS);
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Cancel { .. })), cancels, "{effect:?}");
+    }
+}
+
+#[test]
+fn a_departed_client_is_owed_nothing() {
+    let mut b = Bench::new(of(Effect::Safe));
+    b.ready(1);
+    b.call(1, 9, 0, 500 * MS);
+    b.tell(Event::Departed { request: RequestId(1) });
+    let actions = b.wait(1_000 * MS);
+    assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })), "{actions:?}");
+}
