--- a/src/rules.rs
+++ b/src/rules.rs
@@ -397,7 +397,7 @@
     fn enline(&mut self, id: RequestId, now: Time) {
         self.unline(id);
         let Some(r) = self.requests.get(&id) else { return };
-        let late = now.since(r.aim_at) + self.expected(r) as Span > 0;
+        let late = now.since(r.aim_at).saturating_add(self.expected(r) as Span) > 0;
         let rank = 2 * late as u8 + r.over_quota as u8;
         let key = (rank, r.aim_at);
         if let Some(r) = self.requests.get_mut(&id) {
@@ -437,7 +437,7 @@
         }
         let c = &self.set.classes[class];
         let stretch = if c.aim_stretch.is_finite() { c.aim_stretch } else { 0.0 };
-        let aim = c.aim + (stretch * hint.unwrap_or(0) as f64) as Span;
+        let aim = c.aim.saturating_add((stretch * hint.unwrap_or(0) as f64) as Span);
         let deadline = now.plus(a.budget.max(0));
         // A client that leaves before the aim sets the aim.
         let aim_at = now.plus(aim.min(c.deadline)).min(deadline);
@@ -813,8 +813,8 @@
         let ids: Vec<RequestId> = self.line.iter().map(|k| k.2).collect();
         for id in ids {
             let Some(r) = self.requests.get(&id) else { continue };
-            let late = now.since(r.aim_at) + self.expected(r) as Span > 0;
-            let lost = now.since(r.deadline) + self.expected(r) as Span > 0;
+            let late = now.since(r.aim_at).saturating_add(self.expected(r) as Span) > 0;
+            let lost = now.since(r.deadline).saturating_add(self.expected(r) as Span) > 0;
             let worthless = self.set.classes[r.class].late_worth <= 0.0 && late;
             let tight = now.since(r.aim_at) as f64 + self.expected(r).max(self.answer_time()) > 0.0;
             if lost || worthless || (tight || r.over_quota) && contended || !self.repeatable(r, None, now) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -315,3 +315,29 @@
     let actions = b.wait(1_000 * MS);
     assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })), "{actions:?}");
 }
+
+#[test]
+fn huge_and_odd_numbers_do_not_panic() {
+    let mut set = of(Effect::Safe);
+    set.classes[0].aim_stretch = 1e9;
+    let mut b = Bench::new(set);
+    b.ready(2);
+    for (i, (budget, hint)) in [(i64::MAX, i64::MAX), (i64::MIN, i64::MIN), (1, 0)].into_iter().enumerate() {
+        b.tell(Event::Arrival(Arrival {
+            request: RequestId(i as u64),
+            function: FunctionId(1),
+            class: 99,
+            tenant: 99,
+            budget,
+            work_hint: Some(hint),
+            lanes: 0,
+            memory_mb: f64::NAN,
+            load_time: Some(i64::MAX),
+            repeat: true,
+        }));
+        b.loaded(WorkerId(1 + i as u64), 1, Outcome::Served);
+    }
+    b.done(77, 3, WorkerId(99), Outcome::Served);
+    b.done(0, 0, WorkerId(1), Outcome::TimedOut);
+    b.wait(1_000 * MS);
+}
