--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 
 /// How often held calls and silent workers are looked over, microseconds. Well under any human-scale aim.
 const SWEEP: Span = 10_000;
-/// Instances beyond the first, per unit of measured concurrency: 1.5 was no better, as loads cost a slow store.
+/// Instances beyond the first, per unit of measured concurrency; 1.5 was measured and was no better.
 const HEADROOM: f64 = 1.0;
 /// Part of the idle life after which a belief lapses: the rest covers travel and late sweeps.
 const LAPSE: f64 = 0.9;
