Spread sooner, by strength; load pacing by fleet size; quotas out; names of workers long gone forgotten

Weighting homes alone by kind gave nothing. Adapter: no name is kept of a worker that left, nor of a function whose name its number gives.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -282,13 +282,13 @@
     },
     StartCopy {
         end: u64,
-        callee: &'a str,
+        callee: String,
         number: u32,
         worker: &'a str,
     },
     LetCool {
         end: u64,
-        callee: &'a str,
+        callee: String,
         worker: &'a str,
     },
     After {
--- a/drill/tests/wire.rs
+++ b/drill/tests/wire.rs
@@ -120,3 +120,25 @@
         assert_eq!(actions(&together, end), alone);
     }
 }
+
+/// A worker that has left is forgotten; outcomes that still name it do no harm, and it may return under its name.
+#[test]
+fn a_worker_that_left_may_still_be_named_and_may_return() {
+    let change = |health: u8| {
+        format!("{{\"kind\":\"Targets\",\"end\":3,\"mode\":4,\"epoch\":2,\"entries\":[{{\"worker\":\"10.0.0.1:80\",\"health\":{health},\"share\":1}},{{\"worker\":\"10.0.0.2:80\",\"health\":{health},\"share\":1}}]}}\n")
+    };
+    let lost = |worker: &str| {
+        loaded(3, worker).replace("served", "connection_lost").replace("\"number\":1", "\"number\":0")
+    };
+    let late = lost("10.0.0.1:80") + &lost("10.0.0.2:80");
+    let start = batch(1, 5.0, &up(3, 7)) + &batch(2, 5.5, &(call(3, 42) + &change(2)));
+    let out = play(&(start.clone() + &batch(3, 6.0, &(late.clone() + &call(3, 43)))));
+    assert!(out.status.success());
+    let orders = |out: &Output| actions(out, 3).iter().filter(|l| l.contains("StartCopy")).count();
+    assert_eq!(orders(&out), 1, "an order given before the list changed still names its worker");
+    let out = play(&(start + &batch(3, 6.0, &late) + &batch(4, 8.0, &(change(1) + &call(3, 44)))));
+    assert!(out.status.success());
+    let all = actions(&out, 3);
+    assert!(all.iter().all(|l| !l.contains("\"worker\":\"\"")), "{all:?}");
+    assert!(orders(&out) >= 2, "{all:?}");
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,25 +8,23 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How often held calls and silent workers are looked over, microseconds. Well under any human-scale aim.
-const SWEEP: Span = 10_000;
+const SWEEP: Span = 20_000;
 /// A place takes at least so many calls at a time, however little the workers carry.
 const LEAST_PLACE: f64 = 0.5;
 /// Part of the idle life after which a belief lapses: the rest covers travel and late sweeps.
 const LAPSE: f64 = 0.9;
 /// Loads in hand a worker, by all front ends together, at first: workers run few at a time.
 const LOADS_AT_WORKER: usize = 2;
-/// A load so many deviations over the mean is slow: the store is crowded or ill.
-const SLOW_LOAD: f64 = 4.0;
 /// Silence of a worker that is a symptom, in usual answer times summed over the calls that wait there.
 const PATIENCE: f64 = 10.0;
+/// Answers under which a worker is presumed to be as its kind, and a kind as all.
+const FEW: f64 = 4.0;
 /// Weight of one sample in slow averages.
 const GAIN: f64 = 0.1;
 /// Idle lives after its last call that a function is remembered: its instances are long gone by then.
 const FORGET: Span = 4;
 /// Idle lives over which a function's rate is taken: with many siblings each sees few calls of it.
 const RATE_LIVES: Span = 2;
-/// Calls over a tenant's mean pace that may come at once: with few calls a second they come unevenly.
-const QUOTA_BURST: f64 = 8.0;
 /// Calls that all front ends together still let a worker have when it answers badly.
 const LEAST_LIMIT: f64 = 2.0;
 /// What is left of a limit, on sends or on loads, when what it bounds goes badly.
@@ -49,7 +47,6 @@
     function: FunctionId,
     aim_at: Time,
     deadline: Time,
-    over_quota: bool,
     hint: Option<Span>,
     attempts: Vec<Attempt>,
     streaming: bool,
@@ -78,7 +75,8 @@
     heard: Time,
     out: BTreeSet<(Time, RequestId)>,
     last: Option<Time>,
-    gap: Typical,
+    sends: Recent,
+    pace: Pace,
     credit: f64,
     credit_at: Time,
     left: Option<Time>,
@@ -144,13 +142,26 @@
     }
 }
 
+/// Lately: times taken over those expected, summed, and their number.
+#[derive(Default, Clone, Copy)]
+struct Pace(Recent, Recent);
+
+impl Pace {
+    fn add(&mut self, now: Time, ratio: f64, memory: f64) {
+        self.0.add(now, ratio, memory);
+        self.1.add(now, 1.0, memory);
+    }
+    fn slowness(&self, presumed: f64) -> f64 {
+        (self.0.sum + FEW * presumed) / (self.1.sum + FEW)
+    }
+}
+
 /// Loads in hand, and how loads go: their times are over the told time of a load where that is told.
 #[derive(Default)]
 struct Loads {
     took: Typical,
     out: usize,
     window: f64,
-    cut: Time,
     next: Time,
     orders: VecDeque<Time>,
 }
@@ -165,8 +176,8 @@
     waiting: BTreeSet<FunctionId>,
     deadlines: BTreeSet<(Time, RequestId)>,
     class_service: Vec<f64>,
-    buckets: Vec<(f64, Time)>,
     answers: Typical,
+    kinds: BTreeMap<usize, Pace>,
     loads: Loads,
     arrivals: VecDeque<Time>,
     work: Recent,
@@ -196,9 +207,9 @@
             waiting: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             class_service: set.classes.iter().map(|c| c.aim as f64 * FIRST_SERVICE).collect(),
-            buckets: set.tenants.iter().map(|t| (t.quota_per_s, now)).collect(),
             answers: Typical::default(),
-            loads: Loads { cut: now, ..Loads::default() },
+            kinds: BTreeMap::new(),
+            loads: Loads::default(),
             arrivals: VecDeque::new(),
             work: Recent { sum: 0.0, at: now },
             next_tidy: now,
@@ -315,6 +326,19 @@
         Some((w.credit + rate * now.since(w.credit_at).max(0) as f64).min(most))
     }
 
+    /// EXCEPTION: the listed size over how slowly it answers, as far as seen, else its kind: workers that
+    /// have few cores, age or jam get less. With all alike it changes nothing. Harm: chance in few answers.
+    fn strength(&self, w: &Worker) -> f64 {
+        let kind = self.kinds.get(&w.entry.kind).copied().unwrap_or_default();
+        w.entry.share / w.pace.slowness(kind.slowness(1.0))
+    }
+
+    /// How much of a function belongs at a worker: the same order at every front end, or an own one of each.
+    fn claim(&self, f: FunctionId, wid: WorkerId, own: bool) -> f64 {
+        let strength = self.workers.get(&wid).map_or(0.0, |w| self.strength(w));
+        rendezvous(if own { FunctionId(mix(f.0 ^ self.set.me as u64)) } else { f }, wid, strength)
+    }
+
     /// Whether a worker may take new work at all: what every send and every load order passes.
     fn open(&self, id: WorkerId) -> bool {
         self.workers.get(&id).is_some_and(|w| w.entry.state == WorkerState::Ready && !w.suspect)
@@ -329,21 +353,19 @@
         let owed = !r.concluded && !r.streaming && now < r.deadline && !r.pending();
         let ready = w.entry.state == WorkerState::Ready;
         let trial = ready && w.suspect && w.trial && class.effect == Effect::Safe;
-        // Half the room is for calls within their tenant's quota only: what is over it yields first.
-        let room = if r.over_quota { w.limit / 2.0 } else { w.limit };
         let weight = self.class_service[r.class];
         owed && (self.open(wid) || trial)
-            && (w.in_flight as f64) < room.max(1.0)
-            && Self::rest(w, room, weight, now) <= 0.0
+            && (w.in_flight as f64) < w.limit.max(1.0)
+            && Self::rest(w, weight, now) <= 0.0
             && self.cold_credit(w, weight, now).is_none_or(|c| c >= weight)
             && self.repeatable(r, Some(&w.entry), now)
     }
 
     /// How long a worker must rest yet for a limit under one call, where a call takes so long.
-    fn rest(w: &Worker, limit: f64, service: f64, now: Time) -> f64 {
+    fn rest(w: &Worker, service: f64, now: Time) -> f64 {
         let since = w.last.map_or(f64::MAX, |t| now.since(t) as f64);
-        if limit < 1.0 {
-            service / limit - since
+        if w.limit < 1.0 {
+            service / w.limit - since
         } else {
             0.0
         }
@@ -416,7 +438,7 @@
         self.unline(id);
         let Some(r) = self.requests.get(&id) else { return };
         let late = now.since(r.aim_at).saturating_add(self.expected(r).0 as Span) > 0;
-        let turn = (2 * late as u8 + r.over_quota as u8, r.aim_at, id);
+        let turn = (2 * late as u8, r.aim_at, id);
         let fid = r.function;
         if let (Some(r), Some(f)) = (self.requests.get_mut(&id), self.functions.get_mut(&fid)) {
             r.line = Some(turn);
@@ -441,15 +463,6 @@
         if let Some(h) = hint {
             f.mean_hint += if f.mean_hint == 0.0 { h as f64 } else { GAIN * (h as f64 - f.mean_hint) };
         }
-        let mut over_quota = false;
-        if let (Some(t), Some(b)) = (self.set.tenants.get(a.tenant), self.buckets.get_mut(a.tenant)) {
-            // A second's worth of quota may come at once; my share of it is one sibling's.
-            let mine = (t.quota_per_s / self.set.siblings as f64).max(0.0);
-            b.0 = (b.0 + mine * now.since(b.1) as f64 / SECOND as f64).min(mine.max(QUOTA_BURST));
-            b.1 = now;
-            over_quota = b.0 < 1.0;
-            b.0 -= if over_quota { 0.0 } else { 1.0 };
-        }
         let c = &self.set.classes[class];
         let stretch = if c.aim_stretch.is_finite() { c.aim_stretch } else { 0.0 };
         let aim = c.aim.saturating_add((stretch * hint.unwrap_or(0) as f64) as Span);
@@ -457,7 +470,7 @@
         // A client that leaves before the aim sets the aim.
         let aim_at = now.plus(aim.min(c.deadline)).min(deadline);
         let function = a.function;
-        let r = Request { class, function, aim_at, deadline, over_quota, hint, ..Request::default() };
+        let r = Request { class, function, aim_at, deadline, hint, ..Request::default() };
         self.requests.insert(a.request, r);
         self.deadlines.insert((deadline, a.request));
         self.enline(a.request, now);
@@ -489,7 +502,7 @@
         let (fid, class) = (r.function, r.class);
         let owed = !r.concluded && !d.concluded;
         let (usual, weight) = self.requests.get(&d.request).map_or((0.0, 1.0), |r| self.expected(r));
-        let (aim, memory) = (self.set.classes[class].aim as f64, self.memory());
+        let (aim, memory, filled) = (self.set.classes[class].aim as f64, self.memory(), self.filled(now));
         if let Some(w) = self.workers.get_mut(&wid) {
             w.out.remove(&(sent, d.request));
             w.in_flight = w.in_flight.saturating_sub(1);
@@ -508,9 +521,13 @@
             // slows it: siblings' calls, few cores, ageing, a jam. With many siblings that is under one call:
             // the part of the time that one may be there (`rest`). Harm: it gives up some room to chance.
             let slow = ran && warm && took > aim / 2.0 && took > 2.0 * usual;
+            if ran && warm {
+                w.pace.add(now, took / usual.max(1.0), memory);
+                self.kinds.entry(w.entry.kind).or_default().add(now, took / usual.max(1.0), memory);
+            }
             let bad = slow || matches!(d.outcome, Outcome::TurnedAway | Outcome::TimedOut);
             if bad && now.since(w.cut_at) > usual as Span {
-                let used = if w.in_flight > 0 { w.limit } else { usual / w.gap.mean.max(usual) };
+                let used = if w.in_flight > 0 { w.limit } else { (usual * w.sends.sum / filled).min(1.0) };
                 let least = (LEAST_LIMIT / self.set.siblings as f64).min(1.0);
                 w.limit = (w.limit.min(used) * CUT).max(least);
                 w.cut_at = now;
@@ -603,7 +620,7 @@
     fn stuck(&self, w: WorkerId, p: &Place, now: Time) -> bool {
         let last = p.last_send.map_or(p.touched, |t| t.max(p.touched));
         let silent = p.in_flight > 0 && now.since(last) as f64 > PATIENCE / 2.0 * self.answer_time();
-        let rest = |w: &Worker| Self::rest(w, w.limit, self.class_service[0], now);
+        let rest = |w: &Worker| Self::rest(w, self.class_service[0], now);
         let bad = self.workers.get(&w).is_none_or(|w| rest(w) > self.answer_time());
         now < p.barred_until || silent || bad
     }
@@ -616,27 +633,29 @@
             let lane = p.in_flight < p.copies.max(1) * f.lanes;
             lane && now >= p.barred_until && self.alive(**w, p, now) && self.may_send(r, **w, now)
         });
-        let me = self.set.me as u64;
-        free.min_by_key(|(w, p)| (p.last_send, mix(w.0 ^ mix(me)))).map(|(w, _)| *w)
+        let age = |w: &WorkerId, p: &Place| {
+            let strength = self.workers.get(w).map_or(0.0, |w| self.strength(w));
+            let unused = || (1, self.claim(r.function, *w, true));
+            p.last_send.map_or_else(unused, |t| (0, now.since(t) as f64 * strength))
+        };
+        let aged = free.map(|(w, p)| (age(w, p), *w));
+        aged.max_by(|a, b| a.0 .0.cmp(&b.0 .0).then(a.0 .1.total_cmp(&b.0 .1))).map(|(_, w)| w)
     }
 
     fn send(&mut self, now: Time, id: RequestId, wid: WorkerId, out: &mut Vec<Action>) {
         self.unline(id);
         let Some(r) = self.requests.get(&id) else { return };
-        let weight = self.class_service[r.class];
+        let (weight, memory) = (self.class_service[r.class], self.memory());
         let credit = self.workers.get(&wid).and_then(|w| self.cold_credit(w, weight, now));
         let (Some(r), Some(w)) = (self.requests.get_mut(&id), self.workers.get_mut(&wid)) else { return };
         let to = w.entry.clone();
         r.attempts.push(Attempt { to, sent: now, ran: None });
-        if let Some(c) = credit {
-            (w.credit, w.credit_at) = (c - weight, now);
-        }
+        (w.credit, w.credit_at) = (credit.unwrap_or(0.0) - weight, now);
         w.in_flight += 1;
         w.trial = false;
         w.out.insert((now, id));
-        if let Some(last) = w.last.replace(now) {
-            w.gap.add(now.since(last) as f64);
-        }
+        w.last = Some(now);
+        w.sends.add(now, 1.0, memory);
         if let Some(f) = self.functions.get_mut(&r.function) {
             let p = f.places.entry(wid).or_default();
             p.in_flight += 1;
@@ -652,52 +671,60 @@
         let allowed = self.ration(now);
         let Some(f) = self.functions.get(&fid) else { return };
         let service = f.service.unwrap_or(self.class_service[f.class]);
-        // The siblings take about as much of it and name the same places, so the places are shared by all.
-        // The call that is just here is no evidence of others.
+        // The siblings take about as much of it and name the same places, so the places are shared by all. A
+        // place counts for its lanes, but for no more than a worker's usual load: lanes share few cores.
         let siblings = self.set.siblings as f64;
-        let busy = (f.calls.sum - 1.0).max(0.0) / self.filled(now) * service * siblings;
-        // A place counts for its lanes, but for no more than a worker's usual load: lanes share few cores.
         let usual = (self.work.sum / self.filled(now) * siblings / self.ready.max(1.0)).max(LEAST_PLACE);
-        let cap = 1 + (busy / usual.min(f.lanes as f64)) as usize;
+        let each = service * siblings / self.filled(now) / usual.min(f.lanes as f64);
+        // Loads go by the calls before the one that is just here; asking, which costs little, by all of them.
+        let cap = 1 + ((f.calls.sum - 1.0).max(0.0) * each) as usize;
+        let wide = 1 + (f.calls.sum * each) as usize;
         let wait = self.load_wait(f);
         let taken = |w: WorkerId, p: &Place| {
             self.alive(w, p, now) || p.ordered.is_some_and(|t| now.since(t) < 3 * wait)
         };
         let counts = |w: &WorkerId, p: &Place| self.open(*w) && !self.stuck(*w, p, now) && taken(*w, p);
-        if f.places.iter().filter(|(w, p)| counts(w, p)).count() >= cap {
+        let have = f.places.iter().filter(|(w, p)| counts(w, p)).count();
+        if have >= wide {
             return;
         }
         let direct = !self.set.may_order;
         let mut home: Vec<(f64, WorkerId)> = Vec::new();
-        for (wid, w) in self.ready() {
-            let place = f.places.get(wid);
-            let shut =
-                place.is_some_and(|p| self.stuck(*wid, p, now) || p.ordered.is_some() && !taken(*wid, p));
-            let may = !direct || self.requests.get(&id).is_some_and(|r| self.may_send(r, *wid, now));
-            if may && !shut && self.open(*wid) {
-                home.push((rendezvous(fid, *wid, w.entry.share), *wid));
+        for wid in self.ready().map(|(id, _)| *id).filter(|id| self.open(*id)) {
+            let out = |p: &Place| self.stuck(wid, p, now) || p.ordered.is_some() && !taken(wid, p);
+            let may = !direct || self.requests.get(&id).is_some_and(|r| self.may_send(r, wid, now));
+            if may && !f.places.get(&wid).is_some_and(out) {
+                home.push((self.claim(fid, wid, false), wid));
             }
         }
         home.sort_by(|a, b| b.0.total_cmp(&a.0));
-        home.truncate(cap);
-        home.retain(|(_, w)| !f.places.get(w).is_some_and(|p| taken(*w, p)));
-        let me = mix(self.set.me as u64);
-        let Some((_, wid)) = home.into_iter().min_by_key(|(_, w)| mix(w.0 ^ fid.0 ^ me)) else { return };
+        home.truncate(wide);
+        let lately = |t: Option<Time>, span| t.is_some_and(|t| now.since(t) < span);
+        let open = home.into_iter().enumerate().filter_map(|(rank, (_, w))| {
+            let p = f.places.get(&w);
+            let load = rank < cap && have < cap;
+            let asked = lately(p.and_then(|p| p.asked), self.set.idle_life);
+            (!p.is_some_and(|p| taken(w, p)) && (load || !asked)).then_some((load, w))
+        });
+        let own = open.map(|(load, w)| (self.claim(fid, w, true), load, w));
+        let Some((_, load, wid)) = own.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         if direct {
             return self.send(now, id, wid, out);
         }
+        // EXCEPTION: loads in hand are few over all front ends; a share under one comes in turns of its own.
+        // Holds for a release of many functions, a slow store, an empty zone. Harm: loads wait with us then.
         let window = self.loads.window;
         let spare = (self.loads.out as f64) < window && window >= 1.0
             || self.loads.out == 0 && now >= self.loads.next;
         let Some(f) = self.functions.get_mut(&fid) else { return };
         let p = f.places.entry(wid).or_default();
-        if allowed && spare {
+        if load && allowed && spare {
             p.ordered = Some(now);
             self.loads.out += 1;
             self.loads.orders.push_back(now);
             self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
             out.push(Action::Load { worker: wid, function: fid, instances: 1 });
-        } else if p.asked.is_none_or(|t| now.since(t) > wait) {
+        } else if !lately(p.asked, wait) {
             // EXCEPTION: no load to spare, but a sibling may have had it loaded: asking costs no load.
             p.asked = Some(now);
             out.push(Action::Load { worker: wid, function: fid, instances: 0 });
@@ -739,9 +766,7 @@
         p.warm = n > 0;
         p.touched = now;
         p.asked = p.asked.filter(|_| n == 0);
-        if o != Outcome::Served {
-            p.barred_until = now.plus(SECOND / 2);
-        }
+        p.barred_until = if o == Outcome::Served { now } else { now.plus(SECOND / 2) };
         if !ordered {
             return self.pump(now, fid, out);
         }
@@ -750,26 +775,11 @@
             let gap = self.set.connect_timeout;
             self.workers.entry(wid).and_modify(|w| Self::suspect(w, now, gap));
         }
-        // EXCEPTION: loads in hand are bounded by how they go, as sends are: a store that fails or slows is
-        // not pushed further. Harm: after a release of many functions loads queue with us.
-        let x = took.max(0) as f64 / f.told_load.map_or(1.0, |t| t as f64);
-        let loaded = o == Outcome::Served && took > self.set.connect_timeout;
-        let Typical { mean, dev } = self.loads.took;
-        let slow = loaded && mean > 0.0 && x > mean + SLOW_LOAD * dev;
-        if o == Outcome::Served && !loaded {
+        if o == Outcome::Served && took > self.set.connect_timeout {
+            self.loads.took.add(took as f64 / f.told_load.map_or(1.0, |t| t as f64));
+        } else if o == Outcome::Served {
             self.loads.next = now; // It stood already: no load was made.
         }
-        if loaded {
-            self.loads.took.add(x);
-        }
-        if o == Outcome::Error || slow {
-            if now.since(self.loads.cut) > SECOND {
-                self.loads.window = (self.loads.window * CUT).max(1.0 / self.set.siblings as f64);
-                self.loads.cut = now;
-            }
-        } else if loaded {
-            self.loads.window += (1.0 / self.loads.window).min(GAIN * self.loads.window);
-        }
         self.pump(now, fid, out);
     }
 
@@ -807,9 +817,8 @@
             self.listed_at = now;
         }
         self.watch(now, out);
-        // Held calls: those now late step back; those that can't earn any more are refused.
-        // EXCEPTION: while calls that can be in time wait for a lane or for room (not for a load), the late
-        // ones are refused: they would make the next ones late too. Harm: their small worth.
+        // Held calls: those now late step back. EXCEPTION: while calls that can be in time wait for a lane
+        // (not a load), late ones are refused: they would make the next late. Harm: their small worth.
         let contended = self.waiting.iter().filter_map(|f| self.functions.get(f)).any(|f| {
             let timely = f.line.first().is_some_and(|t| t.0 < 2);
             timely && f.places.iter().any(|(w, p)| self.alive(*w, p, now))
@@ -826,7 +835,7 @@
                     || late && self.set.classes[r.class].late_worth <= 0.0
                     || !self.repeatable(r, None, now);
                 let tight = past(r.aim_at, expected.max(self.answer_time()));
-                if lost || (tight || r.over_quota) && contended {
+                if lost || tight && contended {
                     self.finish(turn.2, out);
                 } else if late && turn.0 < 2 {
                     self.enline(turn.2, now);
@@ -872,7 +881,6 @@
                     w.trial = true;
                 }
             }
-            // A call taken back is out of the account: its outcome may come late or never.
             let requests = &self.requests;
             let (classes, most) = (&self.set.classes, self.set.max_attempts as usize);
             let stuck = w.out.iter().filter(|(_, id)| {
