--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,9 +61,6 @@
     fn pending(&self) -> bool {
         self.attempts.iter().any(|a| a.ran.is_none())
     }
-    fn never_ran(&self) -> bool {
-        self.attempts.iter().all(|a| a.ran == Some(false))
-    }
 }
 
 #[derive(Default)]
@@ -182,6 +179,7 @@
     arrivals: VecDeque<Time>,
     work: Recent,
     next_tidy: Time,
+    next_test: Time,
     shares: f64,
     ready: f64,
     began: Time,
@@ -213,6 +211,7 @@
             arrivals: VecDeque::new(),
             work: Recent { sum: 0.0, at: now },
             next_tidy: now,
+            next_test: now,
             next_sweep: now,
             timer_at: None,
             listed_at: now.plus(-set.ask_within),
@@ -393,7 +392,8 @@
 
     fn may_refuse(&self, r: &Request) -> bool {
         let effect = self.set.classes[r.class].effect;
-        matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) || r.never_ran()
+        matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. })
+            || r.attempts.iter().all(|a| a.ran == Some(false))
     }
 
     /// EXCEPTION (rule 1): what can't be held until the next sweep is answered at once, also what comes with
@@ -464,10 +464,8 @@
             f.mean_hint += if f.mean_hint == 0.0 { h as f64 } else { GAIN * (h as f64 - f.mean_hint) };
         }
         let c = &self.set.classes[class];
-        let stretch = if c.aim_stretch.is_finite() { c.aim_stretch } else { 0.0 };
-        let aim = c.aim.saturating_add((stretch * hint.unwrap_or(0) as f64) as Span);
+        let aim = c.aim.saturating_add((c.aim_stretch * hint.unwrap_or(0) as f64) as Span);
         let deadline = now.plus(a.budget.max(0));
-        // A client that leaves before the aim sets the aim.
         let aim_at = now.plus(aim.min(c.deadline)).min(deadline);
         let function = a.function;
         let r = Request { class, function, aim_at, deadline, hint, ..Request::default() };
@@ -742,13 +740,12 @@
     /// Rule 5: orders in the window, this one included, within the free part and the share of arrivals.
     fn ration(&mut self, now: Time) -> bool {
         let period = self.set.ration.map_or(0, |r| r.period);
-        let (late, early) = (period - self.set.tick, period + self.set.tick);
-        let old = self.arrivals.partition_point(|t| now.since(*t) >= late);
+        let old = self.arrivals.partition_point(|t| now.since(*t) >= period - self.set.tick);
         self.arrivals.drain(..old);
-        let old = self.loads.orders.partition_point(|t| now.since(*t) > early);
+        let old = self.loads.orders.partition_point(|t| now.since(*t) > period + self.set.tick);
         self.loads.orders.drain(..old);
-        let (given, taken) = (self.loads.orders.len() as f64, self.arrivals.len() as f64);
-        self.set.ration.is_none_or(|r| given + 1.0 <= r.free + r.part * taken)
+        let given = self.loads.orders.len() as f64 + 1.0;
+        self.set.ration.is_none_or(|r| given <= r.free + r.part * self.arrivals.len() as f64)
     }
 
     fn on_order(
@@ -865,11 +862,14 @@
         for id in found.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.workers.entry(id).and_modify(|w| Self::suspect(w, now, unit as Span));
         }
-        let suspects = self.workers.iter().filter(|(_, w)| w.suspect).map(|(id, _)| *id);
-        for wid in suspects.collect::<Vec<_>>() {
+        // All tests together are paced, the longest due first: a lost zone would cost a probe a worker.
+        let suspects = self.workers.iter().filter(|(_, w)| w.suspect);
+        let due = suspects.clone().filter(|(_, w)| now >= w.next_test && w.entry.state == WorkerState::Ready);
+        let test = due.min_by_key(|(_, w)| w.next_test).map(|(id, _)| *id).filter(|_| now >= self.next_test);
+        for wid in suspects.map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(w) = self.workers.get_mut(&wid) else { continue };
-            if now >= w.next_test && w.entry.state == WorkerState::Ready {
-                // A little chance, so that siblings do not all ask at once.
+            if test == Some(wid) {
+                self.next_test = now.plus(unit as Span);
                 w.next_test = now.plus(w.test_gap + (w.test_gap as f64 * self.rng.f64() / 2.0) as Span);
                 w.test_gap = (w.test_gap * 2).min(4 * SECOND);
                 let asked = self.functions.iter().find(|(_, f)| f.places.contains_key(&wid)).map(|f| *f.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -389,6 +389,33 @@
     assert_eq!(ordered(&b.call(3, 9, 0, 1_000 * MS)), Some(at));
 }
 
+/// Incident i166476: a lost zone of 83 workers cost 6.6 probes and orders a request. All tests of suspects together
+/// are paced, and each suspect still gets its turn.
+#[test]
+fn many_suspects_are_tested_in_turn_and_not_all_at_once() {
+    let mut b = Bench::new(Settings { may_probe: true, ..of(Effect::Safe) });
+    b.ready(30);
+    let mut lost = std::collections::BTreeSet::new();
+    for i in 0..400 {
+        if let Some(at) = ordered(&b.call(i, 100 + i, 0, 300 * MS)) {
+            if sent(&b.loaded(at, 100 + i, Outcome::Served)).is_some() {
+                b.done(i, 0, at, Outcome::ConnectFailed);
+                lost.insert(at);
+            }
+        }
+    }
+    assert!(lost.len() > 25, "{} suspects", lost.len());
+    let probed = |actions: &[Action]| -> Vec<WorkerId> {
+        let probe = |a: &Action| if let Action::Probe { worker } = a { Some(*worker) } else { None };
+        actions.iter().filter_map(probe).collect()
+    };
+    b.wait(1_000 * MS);
+    let first = probed(&b.wait(5_000 * MS));
+    assert!((8..=16).contains(&first.len()), "{} probes in 5 s", first.len());
+    let all: std::collections::BTreeSet<WorkerId> = probed(&b.wait(30_000 * MS)).into_iter().collect();
+    assert!(lost.is_subset(&all), "{} of {} tested", all.len(), lost.len());
+}
+
 /// Odd settings and lists: own number outside the count, a very large count, an empty zone.
 #[test]
 fn an_own_number_outside_the_count_and_a_huge_count_still_serve() {
