--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -389,8 +389,8 @@
     assert_eq!(ordered(&b.call(3, 9, 0, 1_000 * MS)), Some(at));
 }
 
-/// Incident i166476: a lost zone of 83 workers cost 6.6 probes and orders a request. All tests of suspects together
-/// are paced, and each suspect still gets its turn.
+/// A lost zone of many workers: without pacing each suspect costs probes on its own clock. All tests together are
+/// paced, and each suspect still gets its turn.
 #[test]
 fn many_suspects_are_tested_in_turn_and_not_all_at_once() {
     let mut b = Bench::new(Settings { may_probe: true, ..of(Effect::Safe) });
