First whole path: gRPC client, ledger, module, stand-in workers, streamed answers

Need: the users want the decisions as a running program. This is the thinnest path that truly runs: Open Inference Protocol v2 over h2 on one calloop thread, the ledger `decide/front` between protocol events and the module, links to workers that are watched by frame headers (so that "never left", "reset has left" and GOAWAY are known from the socket), and a stand-in worker with memory, lanes and load times.

The timer wheel is checked against an ordered map (400 random histories).

--- /dev/null
+++ b/decide/front/src/ids.rs
@@ -0,0 +1,68 @@
+//! Names to the module's numbers: a hash of the name, so that every front end gives a name the same number without
+//! asking another.
+
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Names of one sort and their numbers.
+#[derive(Debug, Default)]
+pub struct Names {
+    by_id: HashMap<u64, String>,
+}
+
+/// Two names with one number: the later cannot be taken without mixing up the two at some front end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Collision {
+    /// The name that was not taken.
+    pub name: String,
+    /// The name that has its number.
+    pub holder: String,
+}
+
+impl std::fmt::Display for Collision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:?} hashes to the number of {:?}: give it another name", self.name, self.holder)
+    }
+}
+impl std::error::Error for Collision {}
+
+/// The number of a name, whoever holds it.
+pub fn number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+impl Names {
+    /// Takes a name; gives its number.
+    pub fn take(&mut self, name: &str) -> Result<u64, Collision> {
+        let id = number(name);
+        match self.by_id.get(&id) {
+            Some(held) if held != name => Err(Collision { name: name.into(), holder: held.clone() }),
+            Some(_) => Ok(id),
+            None => {
+                self.by_id.insert(id, name.into());
+                Ok(id)
+            }
+        }
+    }
+    /// The name of a number.
+    pub fn name(&self, id: u64) -> Option<&str> {
+        self.by_id.get(&id).map(String::as_str)
+    }
+    /// The number of a name that was taken.
+    pub fn find(&self, name: &str) -> Option<u64> {
+        let id = number(name);
+        self.by_id.get(&id).is_some_and(|n| n == name).then_some(id)
+    }
+    /// Lets a name go.
+    pub fn forget(&mut self, id: u64) {
+        self.by_id.remove(&id);
+    }
+    /// How many names are held.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
--- /dev/null
+++ b/decide/front/src/lib.rs
@@ -0,0 +1,20 @@
+//! The ledger of calls: between what the protocols show and what the decision module decides.
+//!
+//! [`Front::step`] takes one [`Input`] with the time and adds [`Command`]s, to be carried out in order. It holds no
+//! clock, no sockets and no threads, so the gateway, a replay of a recorded day and an emulator run the same code.
+//!
+//! - [`ledger`]: the open calls and their attempts, the timers, the guards of the rules.
+//! - [`outcome`]: what a socket showed, and whether the attempt can have run.
+//! - [`account`]: what was taken, answered and sent; it must balance.
+//! - [`ids`]: names to the module's numbers.
+//! - [`record`]: inputs and commands as lines, and their replay.
+
+pub mod account;
+pub mod ids;
+pub mod ledger;
+pub mod outcome;
+pub mod record;
+
+pub use account::Account;
+pub use ledger::{Answer, Call, CallId, Command, Config, Front, FunctionSpec, Input, Listed, OrderId, Why};
+pub use outcome::{NeverRan, Note, Report, Seen, Stage, Told};
--- /dev/null
+++ b/decide/front/src/outcome.rs
@@ -0,0 +1,272 @@
+//! What a socket can show of an attempt, and whether the attempt can have run.
+//!
+//! | shown | outcome | can have run |
+//! |---|---|---|
+//! | connect refused, or not made in time | `ConnectFailed` | no: nothing was sent |
+//! | HEADERS never left before the connection ended or the attempt was withdrawn | `NotSent` | no: nothing was sent |
+//! | RST_STREAM with REFUSED_STREAM | `TurnedAway` | no: RFC 9113, 8.7 |
+//! | GOAWAY whose last stream id is below ours | `TurnedAway` | no: RFC 9113, 6.8 |
+//! | GOAWAY at or above ours, then the end | `ConnectionLost` | yes |
+//! | RST_STREAM with any other code | `Error` | yes |
+//! | connection cut before headers, after headers, between pieces | `ConnectionLost` | yes |
+//! | connection cut after the last piece, before the trailers | `ConnectionLost` | yes; the call is served |
+//! | any status with the trailer `tansy-never-ran: turned-away` | `TurnedAway` | no: the worker's promise |
+//! | any status with the trailer `tansy-never-ran: not-loaded` | `NotLoaded` | no: the worker's promise |
+//! | status OK with an answer | `Served` | yes |
+//! | a status that is the function's own verdict on the call (below) | `Error`, passed on as it is | yes |
+//! | any other status, trailers-only or not | `Error` | yes |
+//! | 200 without trailers, no answer before OK, a frame that is no message, a message over the limit | `Error` | yes |
+//! | a second answer | `Error` | yes |
+//! | silence until the deadline, or withdrawn by us | `TimedOut`, `Cancelled` | yes |
+//!
+//! The promise of the trailer counts only if no piece of an answer came before it. In doubt an attempt has run.
+//!
+//! Verdicts of the function itself are INVALID_ARGUMENT, NOT_FOUND, ALREADY_EXISTS, PERMISSION_DENIED,
+//! FAILED_PRECONDITION, OUT_OF_RANGE, UNIMPLEMENTED and UNAUTHENTICATED: another worker would say the same, so a
+//! further attempt would only cost. They end the call as failed, with the worker's status.
+
+use serde::{Deserialize, Serialize};
+use tansyrouter::Outcome;
+
+/// How far the answer had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Nothing had come.
+    Nothing,
+    /// Response headers had.
+    Headers,
+    /// At least one piece had.
+    Pieces,
+    /// The last piece had.
+    Last,
+}
+
+/// How an attempt, a probe or an order was seen to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Seen {
+    /// The connection was refused, or the address can't be reached.
+    ConnectRefused,
+    /// The connection was not made in time.
+    ConnectTimedOut,
+    /// Its HEADERS never left this machine.
+    NeverLeft,
+    /// A GOAWAY named a last stream below this one.
+    GoawayBelow,
+    /// RST_STREAM from the worker.
+    Reset {
+        /// RFC 9113, section 7.
+        code: u32,
+        /// How far the answer had come.
+        stage: Stage,
+    },
+    /// The connection ended.
+    Cut {
+        /// How far the answer had come.
+        stage: Stage,
+    },
+    /// A status came: the call's end by the protocol.
+    Status {
+        /// gRPC's number; 0: OK.
+        code: u8,
+        /// How far the answer had come.
+        stage: Stage,
+    },
+    /// The stream ended without trailers.
+    NoTrailers {
+        /// How far the answer had come.
+        stage: Stage,
+    },
+    /// What came is no message of the protocol, too long, compressed, or a second answer.
+    BadAnswer {
+        /// How far the answer had come.
+        stage: Stage,
+    },
+    /// We withdrew it, and the withdrawal has left this machine.
+    Withdrawn,
+}
+
+/// A worker's promise that a call did not run and will not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NeverRan {
+    /// The function is not loaded and no load is under way, or the load failed.
+    NotLoaded,
+    /// It was turned away unseen.
+    TurnedAway,
+}
+
+/// How the call met its function.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Note {
+    /// Not told.
+    #[default]
+    Silent,
+    /// An instance stood loaded.
+    Warm,
+    /// The call began a load.
+    BeganLoad,
+    /// The call waited for a load.
+    AwaitedLoad,
+    /// The load failed.
+    LoadFailed,
+}
+
+/// A worker's report of its own load.
+#[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests waiting.
+    pub queued: Option<f64>,
+    /// Requests held.
+    pub held: Option<f64>,
+    /// Share of its cores at work.
+    pub busy: Option<f64>,
+    /// Share of its memory that can't be freed.
+    pub memory_pinned: Option<f64>,
+    /// Loads under way or waiting.
+    pub loads: Option<f64>,
+    /// Mean service time, milliseconds.
+    pub mean_ms: Option<f64>,
+    /// Requests served a second.
+    pub served_per_s: Option<f64>,
+    /// Errors a second.
+    pub errors_per_s: Option<f64>,
+}
+
+/// What the trailers of an answer told.
+#[derive(Clone, Copy, Debug, PartialEq, Default, Serialize, Deserialize)]
+pub struct Told {
+    /// Of the instance.
+    pub note: Note,
+    /// The promise, if one was given.
+    pub never_ran: Option<NeverRan>,
+    /// Calls of the function that the worker held when this one came.
+    pub crowd: Option<u32>,
+    /// Instances that stand loaded, from an order's answer.
+    pub instances: Option<u32>,
+    /// The load report.
+    pub report: Option<Report>,
+}
+
+/// What follows from an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// For the module.
+    pub outcome: Outcome,
+    /// The status is the function's own verdict on the call: passed on, not tried again.
+    pub final_status: bool,
+}
+
+const REFUSED_STREAM: u32 = 7;
+const OWN_VERDICTS: [u8; 8] = [3, 5, 6, 7, 9, 11, 12, 16];
+
+/// Reads the table above.
+pub fn verdict(seen: Seen, told: &Told) -> Verdict {
+    let (outcome, final_status) = match seen {
+        Seen::ConnectRefused | Seen::ConnectTimedOut => (Outcome::ConnectFailed, false),
+        Seen::NeverLeft => (Outcome::NotSent, false),
+        Seen::GoawayBelow => (Outcome::TurnedAway, false),
+        Seen::Reset { code: REFUSED_STREAM, stage: Stage::Nothing } => (Outcome::TurnedAway, false),
+        Seen::Reset { .. } => (Outcome::Error, false),
+        Seen::Cut { .. } => (Outcome::ConnectionLost, false),
+        Seen::Status { code, stage } => match (told.never_ran, stage) {
+            (Some(NeverRan::NotLoaded), Stage::Nothing | Stage::Headers) if code != 0 => {
+                (Outcome::NotLoaded, false)
+            }
+            (Some(NeverRan::TurnedAway), Stage::Nothing | Stage::Headers) if code != 0 => {
+                (Outcome::TurnedAway, false)
+            }
+            (_, Stage::Pieces | Stage::Last) if code == 0 => (Outcome::Served, false),
+            _ => (Outcome::Error, OWN_VERDICTS.contains(&code)),
+        },
+        Seen::NoTrailers { .. } | Seen::BadAnswer { .. } => (Outcome::Error, false),
+        Seen::Withdrawn => (Outcome::Cancelled, false),
+    };
+    Verdict { outcome, final_status }
+}
+
+impl From<Note> for tansyrouter::Note {
+    fn from(n: Note) -> tansyrouter::Note {
+        match n {
+            Note::Silent => tansyrouter::Note::Silent,
+            Note::Warm => tansyrouter::Note::Warm,
+            Note::BeganLoad => tansyrouter::Note::BeganLoad,
+            Note::AwaitedLoad => tansyrouter::Note::AwaitedLoad,
+            Note::LoadFailed => tansyrouter::Note::LoadFailed,
+        }
+    }
+}
+
+impl From<Report> for tansyrouter::LoadReport {
+    fn from(r: Report) -> tansyrouter::LoadReport {
+        tansyrouter::LoadReport {
+            queued: r.queued,
+            held: r.held,
+            busy: r.busy,
+            memory_pinned: r.memory_pinned,
+            loads: r.loads,
+            mean_ms: r.mean_ms,
+            served_per_s: r.served_per_s,
+            errors_per_s: r.errors_per_s,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const STAGES: [Stage; 4] = [Stage::Nothing, Stage::Headers, Stage::Pieces, Stage::Last];
+
+    fn never_ran(seen: Seen, told: &Told) -> bool {
+        verdict(seen, told).outcome.never_ran()
+    }
+
+    #[test]
+    fn only_proof_says_that_an_attempt_never_ran() {
+        let silent = Told::default();
+        for seen in [Seen::ConnectRefused, Seen::ConnectTimedOut, Seen::NeverLeft, Seen::GoawayBelow] {
+            assert!(never_ran(seen, &silent), "{seen:?}");
+        }
+        for stage in STAGES {
+            for code in 0..=20 {
+                let proof = code == 7 && stage == Stage::Nothing;
+                assert_eq!(never_ran(Seen::Reset { code, stage }, &silent), proof, "code {code} {stage:?}");
+                assert!(!never_ran(Seen::Status { code: code as u8, stage }, &silent), "{code} {stage:?}");
+            }
+            for seen in [Seen::Cut { stage }, Seen::NoTrailers { stage }, Seen::BadAnswer { stage }] {
+                assert!(!never_ran(seen, &silent), "{seen:?}");
+            }
+        }
+        assert!(!never_ran(Seen::Withdrawn, &silent));
+    }
+
+    #[test]
+    fn a_promise_counts_only_with_an_error_and_before_any_piece() {
+        for promise in [NeverRan::NotLoaded, NeverRan::TurnedAway] {
+            let told = Told { never_ran: Some(promise), ..Told::default() };
+            for stage in STAGES {
+                let early = matches!(stage, Stage::Nothing | Stage::Headers);
+                assert_eq!(never_ran(Seen::Status { code: 14, stage }, &told), early, "{stage:?}");
+                assert!(!never_ran(Seen::Status { code: 0, stage }, &told), "{stage:?}");
+                assert!(!never_ran(Seen::Cut { stage }, &told));
+            }
+        }
+    }
+
+    #[test]
+    fn an_ok_without_an_answer_is_an_error() {
+        let ok = |stage| verdict(Seen::Status { code: 0, stage }, &Told::default()).outcome;
+        assert_eq!(ok(Stage::Headers), Outcome::Error);
+        assert_eq!(ok(Stage::Pieces), Outcome::Served);
+    }
+
+    #[test]
+    fn the_functions_own_verdicts_are_not_tried_again() {
+        let own: Vec<u8> = (0..=16)
+            .filter(|c| {
+                let seen = Seen::Status { code: *c, stage: Stage::Headers };
+                verdict(seen, &Told::default()).final_status
+            })
+            .collect();
+        assert_eq!(own, OWN_VERDICTS);
+    }
+}
--- /dev/null
+++ b/net/front/src/side.rs
@@ -0,0 +1,28 @@
+//! The gateway's side port: whether it lives, whether it takes calls, and its account.
+
+use crate::hub::Hub;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use tansy_net_grpc::side;
+
+/// Serves the side port of a hub.
+pub fn start(hub: Rc<Hub>, listener: TcpListener) -> io::Result<()> {
+    let spawner = hub.spawner.clone();
+    side::start(spawner, listener, Rc::new(move |path| answer(&hub, path)))
+}
+
+fn answer(hub: &Hub, path: &str) -> (&'static str, String) {
+    match path {
+        "/live" | "/v2/health/live" => ("200 OK", "live\n".into()),
+        "/ready" | "/v2/health/ready" => match hub.with_front(|f| f.ready()) {
+            true => ("200 OK", "ready\n".into()),
+            false => ("503 Service Unavailable", "no worker takes work, or closing\n".into()),
+        },
+        "/account" => {
+            let (account, open) = hub.account();
+            ("200 OK", format!("{account} open={open}\n"))
+        }
+        _ => ("404 Not Found", "GET /live, /ready or /account\n".into()),
+    }
+}
--- /dev/null
+++ b/net/grpc/src/server.rs
@@ -0,0 +1,307 @@
+//! Listeners, connections of clients, and the messages that they send.
+
+use crate::io::Io;
+use crate::{within, Spawner};
+use bytes::Bytes;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use h2::server::SendResponse;
+use h2::RecvStream;
+use http::{HeaderMap, HeaderValue, Request, Response};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+use tansy_frames::grpc::{encode_message, Assembler, BadFrame, Code};
+
+/// Bounds of what clients may do.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections held at once; further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Streams on one connection.
+    pub streams: u32,
+    /// Bytes of headers in one request.
+    pub header_bytes: u32,
+    /// Bytes that may wait unread for one stream.
+    pub stream_window: u32,
+    /// Bytes of one message.
+    pub message_bytes: usize,
+    /// Time to send the connection's preface.
+    pub preface_within: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            connections: 20_000,
+            streams: 10_000,
+            header_bytes: 16 * 1024,
+            stream_window: 64 * 1024,
+            message_bytes: 4 * 1024 * 1024,
+            preface_within: Duration::from_secs(5),
+        }
+    }
+}
+
+/// One request and the way to answer it.
+pub type Handler = Rc<dyn Fn(Request<RecvStream>, SendResponse<Bytes>)>;
+
+/// A listener's connections.
+pub struct Server {
+    spawner: Spawner,
+    limits: Limits,
+    handler: Handler,
+    connections: Cell<usize>,
+    closing: Cell<bool>,
+    cuts: Cell<u64>,
+    sheds: Cell<u64>,
+    wakers: RefCell<Vec<Waker>>,
+    resume: RefCell<Option<calloop::ping::Ping>>,
+}
+
+/// A listening socket; `shared` lets several processes take connections from one port.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let domain = if address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(4096)?;
+    Ok(socket.into())
+}
+
+impl Server {
+    /// Serves the connections of a listener, each request by the handler.
+    pub fn start(
+        spawner: Spawner,
+        listener: TcpListener,
+        limits: Limits,
+        handler: Handler,
+    ) -> io::Result<Rc<Server>> {
+        listener.set_nonblocking(true)?;
+        let server = Rc::new(Server {
+            spawner: spawner.clone(),
+            limits,
+            handler,
+            connections: Cell::new(0),
+            closing: Cell::new(false),
+            cuts: Cell::new(0),
+            sheds: Cell::new(0),
+            wakers: RefCell::new(Vec::new()),
+            resume: RefCell::new(None),
+        });
+        // A listener that is full is not read until a connection ends; the ping wakes it.
+        let (ping, pinged) = calloop::ping::make_ping()?;
+        *server.resume.borrow_mut() = Some(ping);
+        let listener = Rc::new(listener);
+        let inserted = |e: String| io::Error::other(e);
+        let (a, b) = (server.clone(), listener.clone());
+        let source = Generic::new(
+            OwnedListener(listener.try_clone()?),
+            Interest::READ,
+            // Edge: what is left in the queue when the server is full is taken when a connection ends.
+            Mode::Edge,
+        );
+        spawner
+            .handle()
+            .insert_source(source, move |_, _, ()| {
+                a.accept(&b);
+                Ok(if a.closing.get() { PostAction::Remove } else { PostAction::Continue })
+            })
+            .map_err(|e| inserted(e.to_string()))?;
+        let a = server.clone();
+        let pinged = spawner.handle().insert_source(pinged, move |(), _, ()| a.accept(&listener));
+        pinged.map_err(|e| inserted(e.to_string()))?;
+        Ok(server)
+    }
+
+    /// Takes no new connection, and tells clients to open no new stream; those open go on.
+    pub fn close(&self) {
+        self.closing.set(true);
+        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+    }
+
+    /// Ends every connection that stands at once, with all that is open on it.
+    pub fn cut(&self) {
+        self.cuts.set(self.cuts.get() + 1);
+        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+    }
+
+    /// Tells the clients of the connections that stand to open no new stream there; new connections are taken.
+    pub fn shed(&self) {
+        self.sheds.set(self.sheds.get() + 1);
+        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+    }
+
+    /// Connections that stand.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        while !self.closing.get() && self.connections.get() < self.limits.connections {
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    if let Err(e) = self.take(socket) {
+                        tracing::warn!(error = %e, "a connection could not be taken");
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // The connection died in the queue, or descriptors ran out; the next one may fare better.
+                Err(e) => {
+                    tracing::warn!(error = %e, "accept failed");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, socket: TcpStream) -> io::Result<()> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let io = Io::new(self.spawner.handle().adapt_io(socket)?);
+        self.connections.set(self.connections.get() + 1);
+        let server = self.clone();
+        self.spawner.spawn(async move {
+            server.serve(io).await;
+            server.connections.set(server.connections.get() - 1);
+            if let Some(ping) = &*server.resume.borrow() {
+                ping.ping();
+            }
+        });
+        Ok(())
+    }
+
+    async fn serve(&self, io: Io) {
+        let limits = &self.limits;
+        let handshake = h2::server::Builder::new()
+            .initial_window_size(limits.stream_window)
+            .initial_connection_window_size((1 << 31) - 1)
+            .max_concurrent_streams(limits.streams)
+            .max_header_list_size(limits.header_bytes)
+            .max_send_buffer_size(limits.stream_window as usize)
+            .handshake::<_, Bytes>(io);
+        let limit = self.spawner.sleep(limits.preface_within);
+        let Some(Ok(mut connection)) = within(limit, handshake).await else {
+            tracing::debug!("a connection without a preface in time was closed");
+            return;
+        };
+        let mut told = false;
+        let (cuts, sheds) = (self.cuts.get(), self.sheds.get());
+        loop {
+            let next = std::future::poll_fn(|cx| {
+                if self.cuts.get() != cuts {
+                    return Poll::Ready(None);
+                }
+                if (self.closing.get() || self.sheds.get() != sheds) && !told {
+                    told = true;
+                    connection.graceful_shutdown();
+                }
+                let next = connection.poll_accept(cx);
+                if next.is_pending() {
+                    let mut wakers = self.wakers.borrow_mut();
+                    wakers.retain(|w| !w.will_wake(cx.waker()));
+                    wakers.push(cx.waker().clone());
+                }
+                next
+            });
+            match next.await {
+                Some(Ok((request, respond))) => (self.handler)(request, respond),
+                Some(Err(e)) => {
+                    tracing::debug!(error = %e, "a client's connection ended");
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+}
+
+/// Lets a listener be polled without giving it up.
+struct OwnedListener(TcpListener);
+impl std::os::fd::AsFd for OwnedListener {
+    fn as_fd(&self) -> std::os::fd::BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
+/// Why a request's messages ended early.
+#[derive(Debug)]
+pub enum BadStream {
+    /// The client cancelled, or its connection ended.
+    Gone,
+    /// What came is no message.
+    Frame(BadFrame),
+    /// The stream ended within a message.
+    CutShort,
+}
+
+/// The messages that a client sends on one stream.
+pub struct Messages {
+    body: RecvStream,
+    assembler: Assembler,
+}
+
+impl Messages {
+    /// Of a request's body, with a limit on one message.
+    pub fn new(body: RecvStream, limit: usize) -> Messages {
+        Messages { body, assembler: Assembler::new(limit) }
+    }
+
+    /// The next message; `None` when the client has sent its last.
+    pub fn poll_next(&mut self, cx: &mut std::task::Context<'_>) -> Poll<Result<Option<Bytes>, BadStream>> {
+        loop {
+            match self.assembler.take() {
+                Ok(Some(message)) => return Poll::Ready(Ok(Some(message))),
+                Ok(None) => {}
+                Err(e) => return Poll::Ready(Err(BadStream::Frame(e))),
+            }
+            match self.body.poll_data(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(bytes))) => {
+                    self.assembler.push(&bytes);
+                    // Fails only on more than was read.
+                    let _ = self.body.flow_control().release_capacity(bytes.len());
+                }
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Err(BadStream::Gone)),
+                Poll::Ready(None) if self.assembler.is_empty() => return Poll::Ready(Ok(None)),
+                Poll::Ready(None) => return Poll::Ready(Err(BadStream::CutShort)),
+            }
+        }
+    }
+}
+
+/// Response headers of gRPC.
+pub fn head() -> Response<()> {
+    let mut response = Response::new(());
+    let kind = HeaderValue::from_static("application/grpc");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Trailers with a status; `message` may be empty.
+pub fn trailers(code: Code, message: &str) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(4);
+    map.insert("grpc-status", HeaderValue::from(u16::from(code.number())));
+    if !message.is_empty() {
+        if let Ok(value) = HeaderValue::from_str(&encode_message(message)) {
+            map.insert("grpc-message", value);
+        }
+    }
+    map
+}
+
+/// Ends a stream with its status in the headers ("Trailers-Only").
+pub fn refuse(respond: &mut SendResponse<Bytes>, trailers: HeaderMap) {
+    let mut response = head();
+    response.headers_mut().extend(trailers);
+    // Fails only if the client has gone.
+    let _ = respond.send_response(response, true);
+}
--- /dev/null
+++ b/protocol/inference/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages of the Open Inference Protocol v2 and of ORCA load reports, and the few places where a gateway looks
+//! inside them without decoding what it only passes on.
+//!
+//! - [`inference`], [`orca`]: the messages, compiled from this package's own `proto/`.
+//! - [`scan`]: reads a `ModelInferRequest` or a streamed answer in place and checks all of its wire format.
+//! - [`amend`]: changes single fields of an encoded message by appending to it, as protobuf's encoding allows.
+//! - [`names`]: method paths, trailer keys and parameter names.
+
+pub mod amend;
+pub mod names;
+pub mod scan;
+
+/// Package `inference`: the service's messages.
+#[allow(missing_docs)]
+pub mod inference {
+    include!(concat!(env!("OUT_DIR"), "/inference.rs"));
+}
+
+/// Package `xds.data.orca.v3`: load reports.
+#[allow(missing_docs)]
+pub mod orca {
+    include!(concat!(env!("OUT_DIR"), "/xds.data.orca.v3.rs"));
+}
