--- /dev/null
+++ b/benches/cost/src/worker.rs
@@ -0,0 +1,53 @@
+//! A worker that costs next to nothing: a fixed answer at once, or silence.
+
+use bytes::Bytes;
+use calloop::EventLoop;
+use http::HeaderValue;
+use prost::Message;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+use tansy_frames::grpc::{frame, Code};
+use tansy_inference::{inference as pb, names};
+use tansy_net_grpc::server::{head, listen, trailers, Limits, Messages, Server};
+use tansy_net_grpc::Spawner;
+
+pub fn run(silent: bool) -> Result<(), crate::Error> {
+    let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
+    let spawner = Spawner::new(event_loop.handle())?;
+    let listener = listen("127.0.0.1:0".parse()?, false)?;
+    let address = listener.local_addr()?;
+    let answer = frame(&crate::client::answer().encode_to_vec());
+    let tasks = spawner.clone();
+    let handler = Rc::new(
+        move |request: http::Request<h2::RecvStream>, mut respond: h2::server::SendResponse<Bytes>| {
+            let answer = answer.clone();
+            tasks.spawn(async move {
+                let (parts, body) = request.into_parts();
+                let mut messages = Messages::new(body, 1 << 22);
+                let _ = poll_fn(|cx| messages.poll_next(cx)).await;
+                let call = parts.uri.path().ends_with("Infer");
+                if call && silent {
+                    return poll_fn(|cx| respond.poll_reset(cx).map(drop)).await;
+                }
+                let mut map = trailers(Code::Ok, "");
+                map.insert(names::INSTANCE, HeaderValue::from_static("warm"));
+                map.insert(names::INSTANCES, HeaderValue::from_static("1"));
+                let body = if call {
+                    answer
+                } else {
+                    frame(&pb::ServerReadyResponse { ready: true }.encode_to_vec())
+                };
+                if let Ok(mut send) = respond.send_response(head(), false) {
+                    let _ = send.send_data(body, false).and_then(|()| send.send_trailers(map));
+                }
+            });
+        },
+    );
+    let limits = Limits { streams: 100_000, ..Limits::default() };
+    let _server = Server::start(spawner, listener, limits, handler)?;
+    println!("ready grpc={address}");
+    loop {
+        event_loop.dispatch(Some(Duration::from_secs(1)), &mut ())?;
+    }
+}
