Own socket adapter and outbox: both directions at once, frames leave together

Cause: the loop library's adapter keeps one interest and one waker for a socket, so a connection that waits to write and to read at once loses one of them; and the HTTP/2 library asked the kernel once for each larger DATA frame: 0.9 writev, 0.4 EAGAIN and 0.4 epoll_ctl a call at 256 open calls. Change: sockets are registered once for both directions by edges, and what a connection has to send waits in a bounded outbox until its driver has let the ready streams run. The taps see bytes when the kernel takes them.

--- a/net/grpc/src/io.rs
+++ b/net/grpc/src/io.rs
@@ -1,11 +1,9 @@
 //! A socket on the loop with the traits that the HTTP/2 library wants, and taps on what passes.
 
-use calloop::io::Async;
-use futures_io::{AsyncRead as _, AsyncWrite as _};
+use crate::socket::Socket;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -128,45 +126,85 @@
     }
 }
 
-/// A TCP socket on the loop.
-pub struct Io {
-    socket: Async<'static, TcpStream>,
+/// Bytes that wait for the kernel at most; beyond it the library is held back.
+const OUTBOX: usize = 256 * 1024;
+/// An empty outbox keeps no more room than this: most connections are idle.
+const KEPT: usize = 16 * 1024;
+
+/// What a connection has to send: the library hands over frame by frame, the kernel gets them together.
+struct Outbox {
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+struct Shared {
+    socket: Socket,
     wire: Option<Rc<RefCell<Wire>>>,
+    out: RefCell<Outbox>,
 }
 
-impl Io {
-    /// A plain socket.
-    pub fn new(socket: Async<'static, TcpStream>) -> Io {
-        Io { socket, wire: None }
-    }
-    /// A socket whose frames are watched.
-    pub fn watched(socket: Async<'static, TcpStream>, wire: Rc<RefCell<Wire>>) -> Io {
-        Io { socket, wire: Some(wire) }
-    }
+impl Shared {
     fn aborted(&self) -> bool {
         self.wire.as_ref().is_some_and(|w| w.borrow().abort)
     }
 }
 
+/// The library's end of a socket. What it writes leaves when the connection's driver flushes its [`Flusher`].
+pub struct Io(Rc<Shared>);
+
+/// The driver's end of a socket.
+pub struct Flusher(Rc<Shared>);
+
+/// Both ends of a socket; with a wire, its frames are watched as they truly leave and come.
+pub fn ends(socket: Socket, wire: Option<Rc<RefCell<Wire>>>) -> (Io, Flusher) {
+    let out = RefCell::new(Outbox { bytes: Vec::new(), sent: 0 });
+    let shared = Rc::new(Shared { socket, wire, out });
+    (Io(shared.clone()), Flusher(shared))
+}
+
 fn gone() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, "dropped: it took nothing")
 }
 
+impl Flusher {
+    /// Sends what waits; ready when all has left.
+    pub fn poll_flush(&self, cx: &Context<'_>) -> Poll<io::Result<()>> {
+        let s = &self.0;
+        let mut out = s.out.borrow_mut();
+        while out.sent < out.bytes.len() {
+            if s.aborted() {
+                return Poll::Ready(Err(gone()));
+            }
+            let n = match s.socket.poll_write(cx, &out.bytes[out.sent..]) {
+                Poll::Ready(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Poll::Ready(Ok(n)) => n,
+                Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
+                Poll::Pending => return Poll::Pending,
+            };
+            if let Some(wire) = &s.wire {
+                wire.borrow_mut().wrote(&out.bytes[out.sent..out.sent + n]);
+            }
+            out.sent += n;
+        }
+        out.sent = 0;
+        out.bytes.clear();
+        out.bytes.shrink_to(KEPT);
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl AsyncRead for Io {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.aborted() {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let s = &self.0;
+        if s.aborted() {
             return Poll::Ready(Err(gone()));
         }
-        let n = match Pin::new(&mut self.socket).poll_read(cx, buf.initialize_unfilled()) {
+        let n = match s.socket.poll_read(cx, buf.initialize_unfilled()) {
             Poll::Ready(Ok(n)) => n,
             Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
             Poll::Pending => return Poll::Pending,
         };
-        if let Some(wire) = &self.wire {
+        if let Some(wire) = &s.wire {
             wire.borrow_mut().read(&buf.initialize_unfilled()[..n]);
         }
         buf.advance(n);
@@ -175,40 +213,43 @@
 }
 
 impl AsyncWrite for Io {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if self.aborted() {
-            return Poll::Ready(Err(gone()));
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let waiting = {
+            let out = self.0.out.borrow();
+            out.bytes.len() - out.sent
+        };
+        if waiting >= OUTBOX {
+            // The kernel must take something first.
+            std::task::ready!(Flusher(self.0.clone()).poll_flush(cx))?;
         }
-        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
-        if let (Poll::Ready(Ok(n)), Some(wire)) = (&written, &self.wire) {
-            wire.borrow_mut().wrote(&buf[..*n]);
+        if self.0.aborted() {
+            return Poll::Ready(Err(gone()));
         }
-        written
+        self.0.out.borrow_mut().bytes.extend_from_slice(buf);
+        Poll::Ready(Ok(buf.len()))
     }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The driver flushes once for all that its streams had to send.
+        Poll::Ready(Ok(()))
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_close(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(Flusher(self.0.clone()).poll_flush(cx))?;
+        Poll::Ready(self.0.socket.shutdown())
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if self.aborted() {
-            return Poll::Ready(Err(gone()));
-        }
-        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
-        if let (Poll::Ready(Ok(n)), Some(wire)) = (&written, &self.wire) {
-            let (mut left, mut wire) = (*n, wire.borrow_mut());
-            for b in bufs {
-                let part = left.min(b.len());
-                wire.wrote(&b[..part]);
-                left -= part;
+        let (mut total, mut io) = (0, self);
+        for b in bufs.iter().filter(|b| !b.is_empty()) {
+            match io.as_mut().poll_write(cx, b) {
+                Poll::Ready(Ok(n)) => total += n,
+                _ if total > 0 => break,
+                other => return other,
             }
         }
-        written
+        Poll::Ready(Ok(total))
     }
     fn is_write_vectored(&self) -> bool {
         true
--- a/net/grpc/src/lib.rs
+++ b/net/grpc/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod link;
 pub mod server;
 pub mod side;
+pub mod socket;
 
 use calloop::futures::Scheduler;
 use calloop::timer::TimeoutFuture;
 use calloop::LoopHandle;
 use std::future::Future;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Starts tasks on the loop.
@@ -43,12 +45,38 @@
     }
 }
 
+/// Lets the tasks that are ready now run first, once. A connection's driver waits so for the streams that have more to
+/// send, and what they send leaves in one system call.
+pub struct Yield(bool);
+
+impl Yield {
+    /// For one driver.
+    pub fn new() -> Yield {
+        Yield(false)
+    }
+    /// Pending every other time, with a wake at the end of the queue.
+    pub fn poll(&mut self, cx: &Context<'_>) -> Poll<()> {
+        self.0 = !self.0;
+        if self.0 {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(())
+    }
+}
+
+impl Default for Yield {
+    fn default() -> Yield {
+        Yield::new()
+    }
+}
+
 /// Ends with `Some` of the future's output, or `None` if `limit` ends first.
 pub async fn within<F: Future>(limit: impl Future<Output = ()>, future: F) -> Option<F::Output> {
     let (mut limit, mut future) = (Box::pin(limit), Box::pin(future));
     std::future::poll_fn(move |cx| {
-        if let std::task::Poll::Ready(out) = future.as_mut().poll(cx) {
-            return std::task::Poll::Ready(Some(out));
+        if let Poll::Ready(out) = future.as_mut().poll(cx) {
+            return Poll::Ready(Some(out));
         }
         limit.as_mut().poll(cx).map(|()| None)
     })
--- a/net/grpc/src/link.rs
+++ b/net/grpc/src/link.rs
@@ -1,10 +1,11 @@
 //! A link to one server: one connection, made when it is first needed and made anew after it ended.
 
-use crate::io::{Io, Wire};
-use crate::Spawner;
+use crate::io::{ends, Wire};
+use crate::socket::Socket;
+use crate::{Spawner, Yield};
 use bytes::Bytes;
 use h2::client::SendRequest;
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, Type};
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
@@ -160,7 +161,7 @@
 
     async fn connect(&self) -> io::Result<(Connection, impl Future<Output = ()>)> {
         let domain = if self.address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
-        let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+        let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
         if let Err(e) = socket.connect(&self.address.into()) {
@@ -168,13 +169,13 @@
                 return Err(e);
             }
         }
-        let mut socket = self.spawner.handle().adapt_io(std::net::TcpStream::from(socket))?;
-        socket.writable().await;
-        if let Some(e) = socket.get_mut().take_error()? {
+        let socket = Socket::new(self.spawner.handle(), std::net::TcpStream::from(socket))?;
+        std::future::poll_fn(|cx| socket.poll_writable(cx)).await;
+        if let Some(e) = socket.get().take_error()? {
             return Err(e);
         }
         let wire = Rc::new(RefCell::new(Wire::default()));
-        let io = Io::watched(socket, wire.clone());
+        let (io, flusher) = ends(socket, Some(wire.clone()));
         let handshake = h2::client::Builder::new()
             .initial_window_size(self.limits.stream_window)
             // Streams are bounded one by one; a slow one must not take the connection's window from the others.
@@ -182,21 +183,35 @@
             .max_header_list_size(self.limits.header_bytes)
             .enable_push(false)
             .handshake::<_, Bytes>(io);
-        let (send, mut connection) = handshake.await.map_err(io::Error::other)?;
+        let mut handshake = std::pin::pin!(handshake);
+        let (send, mut connection) = std::future::poll_fn(|cx| {
+            let made = handshake.as_mut().poll(cx);
+            // What does not leave at once leaves with the driver's first turn.
+            let _ = flusher.poll_flush(cx);
+            made
+        })
+        .await
+        .map_err(io::Error::other)?;
         let watch = wire.clone();
+        let mut others = Yield::new();
         let drive = async move {
             let ended = std::future::poll_fn(|cx| {
+                std::task::ready!(others.poll(cx));
                 watch.borrow_mut().drive(cx);
                 if watch.borrow().abort {
                     return Poll::Ready(Ok(()));
                 }
-                Pin::new(&mut connection).poll(cx)
+                let ended = Pin::new(&mut connection).poll(cx).map_err(io::Error::other);
+                match flusher.poll_flush(cx) {
+                    Poll::Ready(Err(e)) if ended.is_pending() => Poll::Ready(Err(e)),
+                    _ => ended,
+                }
             });
             if let Err(e) = ended.await {
                 tracing::debug!(error = %e, "a worker's connection ended");
             }
             // The socket goes first: from here on nothing can leave.
-            drop(connection);
+            drop((connection, flusher));
             watch.borrow_mut().end();
         };
         Ok((Connection { send, wire }, drive))
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -1,15 +1,17 @@
 //! Listeners, connections of clients, and the messages that they send.
 
-use crate::io::Io;
-use crate::{within, Spawner};
+use crate::io::{ends, Flusher, Io};
+use crate::socket::Socket;
+use crate::{within, Spawner, Yield};
 use bytes::Bytes;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::{HeaderMap, HeaderValue, Request, Response};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, Type};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -47,6 +49,9 @@
     }
 }
 
+/// Time for the last frames of a connection that ends.
+const LAST_FRAMES: Duration = Duration::from_secs(1);
+
 /// One request and the way to answer it.
 pub type Handler = Rc<dyn Fn(Request<RecvStream>, SendResponse<Bytes>)>;
 
@@ -66,7 +71,7 @@
 /// A listening socket; `shared` lets several processes take connections from one port.
 pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let domain = if address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
-    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     if shared {
         socket.set_reuse_port(true)?;
@@ -164,13 +169,15 @@
     }
 
     fn take(self: &Rc<Self>, socket: TcpStream) -> io::Result<()> {
-        socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
-        let io = Io::new(self.spawner.handle().adapt_io(socket)?);
+        let (io, flusher) = ends(Socket::new(self.spawner.handle(), socket)?, None);
         self.connections.set(self.connections.get() + 1);
         let server = self.clone();
         self.spawner.spawn(async move {
-            server.serve(io).await;
+            server.serve(io, &flusher).await;
+            // The last frames, if the other side takes them.
+            let last = std::future::poll_fn(|cx| flusher.poll_flush(cx));
+            within(server.spawner.sleep(LAST_FRAMES), last).await;
             server.connections.set(server.connections.get() - 1);
             if let Some(ping) = &*server.resume.borrow() {
                 ping.ping();
@@ -179,7 +186,7 @@
         Ok(())
     }
 
-    async fn serve(&self, io: Io) {
+    async fn serve(&self, io: Io, flusher: &Flusher) {
         let limits = &self.limits;
         let handshake = h2::server::Builder::new()
             .initial_window_size(limits.stream_window)
@@ -189,14 +196,24 @@
             .max_send_buffer_size(limits.stream_window as usize)
             .handshake::<_, Bytes>(io);
         let limit = self.spawner.sleep(limits.preface_within);
-        let Some(Ok(mut connection)) = within(limit, handshake).await else {
+        let mut handshake = Box::pin(handshake);
+        let made = std::future::poll_fn(|cx| {
+            let made = handshake.as_mut().poll(cx);
+            // What does not leave at once leaves with the next turn.
+            let _ = flusher.poll_flush(cx);
+            made
+        });
+        let Some(Ok(mut connection)) = within(limit, made).await else {
             tracing::debug!("a connection without a preface in time was closed");
             return;
         };
-        let mut told = false;
+        let (mut told, mut others, mut waited) = (false, Yield::new(), false);
         let (cuts, sheds) = (self.cuts.get(), self.sheds.get());
         loop {
             let next = std::future::poll_fn(|cx| {
+                if waited {
+                    std::task::ready!(others.poll(cx));
+                }
                 if self.cuts.get() != cuts {
                     return Poll::Ready(None);
                 }
@@ -205,6 +222,11 @@
                     connection.graceful_shutdown();
                 }
                 let next = connection.poll_accept(cx);
+                // Of what has come in together, only the first waits for others.
+                waited = next.is_pending();
+                if waited && matches!(flusher.poll_flush(cx), Poll::Ready(Err(_))) {
+                    return Poll::Ready(None);
+                }
                 if next.is_pending() {
                     let mut wakers = self.wakers.borrow_mut();
                     wakers.retain(|w| !w.will_wake(cx.waker()));
--- a/net/grpc/src/side.rs
+++ b/net/grpc/src/side.rs
@@ -1,14 +1,12 @@
 //! A small HTTP/1.1 side port: `GET` of a path, answered with a line of text.
 
+use crate::socket::Socket;
 use crate::{within, Spawner};
 use calloop::generic::Generic;
-use calloop::io::Async;
 use calloop::{Interest, Mode, PostAction};
-use futures_io::{AsyncRead, AsyncWrite};
 use std::future::poll_fn;
 use std::io;
-use std::net::{TcpListener, TcpStream};
-use std::pin::Pin;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,8 +29,7 @@
     let inserted = handle.insert_source(source, move |_, listener, ()| loop {
         match listener.accept() {
             Ok((socket, _)) if Rc::strong_count(&open) <= CONNECTIONS => {
-                let taken =
-                    socket.set_nonblocking(true).ok().and_then(|()| spawner.handle().adapt_io(socket).ok());
+                let taken = Socket::new(spawner.handle(), socket).ok();
                 if let Some(socket) = taken {
                     let (inner, answers, open) = (spawner.clone(), answers.clone(), open.clone());
                     spawner.spawn(async move {
@@ -48,15 +45,15 @@
     inserted.map(drop).map_err(|e| io::Error::other(e.to_string()))
 }
 
-async fn serve(spawner: &Spawner, answers: &Answers, mut socket: Async<'static, TcpStream>) {
+async fn serve(spawner: &Spawner, answers: &Answers, socket: Socket) {
     let mut buffer = Vec::new();
     loop {
-        let read = within(spawner.sleep(WITHIN), request(&mut socket, &mut buffer)).await;
+        let read = within(spawner.sleep(WITHIN), request(&socket, &mut buffer)).await;
         let Some(Ok(Some((path, keep)))) = read else { return };
         let (status, body) = answers(&path);
         let close = if keep { "" } else { "Connection: close\r\n" };
         let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{close}\r\n{body}", body.len());
-        let written = within(spawner.sleep(WITHIN), write(&mut socket, head.as_bytes())).await;
+        let written = within(spawner.sleep(WITHIN), write(&socket, head.as_bytes())).await;
         if !keep || !matches!(written, Some(Ok(()))) {
             return;
         }
@@ -64,10 +61,7 @@
 }
 
 /// One request without a body: its path, and whether the connection goes on.
-async fn request(
-    socket: &mut Async<'static, TcpStream>,
-    buffer: &mut Vec<u8>,
-) -> io::Result<Option<(String, bool)>> {
+async fn request(socket: &Socket, buffer: &mut Vec<u8>) -> io::Result<Option<(String, bool)>> {
     let bad = |why: &str| io::Error::new(io::ErrorKind::InvalidData, why.to_string());
     loop {
         let mut headers = [httparse::EMPTY_HEADER; 64];
@@ -91,7 +85,7 @@
             return Err(bad("a request head over the limit"));
         }
         let mut part = [0u8; 1024];
-        let n = poll_fn(|cx| Pin::new(&mut *socket).poll_read(cx, &mut part)).await?;
+        let n = poll_fn(|cx| socket.poll_read(cx, &mut part)).await?;
         if n == 0 {
             return Ok(None);
         }
@@ -99,9 +93,9 @@
     }
 }
 
-async fn write(socket: &mut Async<'static, TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+async fn write(socket: &Socket, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
-        let n = poll_fn(|cx| Pin::new(&mut *socket).poll_write(cx, bytes)).await?;
+        let n = poll_fn(|cx| socket.poll_write(cx, bytes)).await?;
         bytes = &bytes[n..];
     }
     Ok(())
--- /dev/null
+++ b/net/grpc/src/socket.rs
@@ -0,0 +1,115 @@
+//! A TCP socket on the loop, readable and writable at the same time.
+//!
+//! The loop library's own adapter holds one interest and one waker for a socket. A connection that waits to write and
+//! to read at once would lose one of them, and two such ends that wait for each other would stand still for ever. Here
+//! the socket is registered once, for both, by its edges; each direction remembers whether it is worth a system call.
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use std::cell::{Cell, RefCell};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+#[derive(Default)]
+struct Side {
+    ready: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Side {
+    fn rouse(&self) {
+        self.ready.set(true);
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+    fn wait(&self, cx: &Context<'_>) {
+        let mut waker = self.waker.borrow_mut();
+        if !waker.as_ref().is_some_and(|w| w.will_wake(cx.waker())) {
+            *waker = Some(cx.waker().clone());
+        }
+    }
+    /// Runs a system call while the socket may be ready.
+    fn poll<T>(&self, cx: &Context<'_>, mut call: impl FnMut() -> io::Result<T>) -> Poll<io::Result<T>> {
+        while self.ready.get() {
+            match call() {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.ready.set(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                done => return Poll::Ready(done),
+            }
+        }
+        self.wait(cx);
+        Poll::Pending
+    }
+}
+
+#[derive(Default)]
+struct Sides {
+    read: Side,
+    write: Side,
+}
+
+/// A TCP socket on the loop. It is closed when this is dropped.
+pub struct Socket {
+    socket: Rc<TcpStream>,
+    sides: Rc<Sides>,
+    handle: LoopHandle<'static, ()>,
+    token: RegistrationToken,
+}
+
+impl Socket {
+    /// Registers a socket; it is made non-blocking.
+    pub fn new(handle: &LoopHandle<'static, ()>, socket: TcpStream) -> io::Result<Socket> {
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(socket);
+        let sides = Rc::new(Sides::default());
+        let told = sides.clone();
+        let source = Generic::new(socket.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle.insert_source(source, move |readiness, _, ()| {
+            // A hang-up or an error is read from either direction.
+            if readiness.readable || readiness.error {
+                told.read.rouse();
+            }
+            if readiness.writable || readiness.error {
+                told.write.rouse();
+            }
+            Ok(PostAction::Continue)
+        });
+        let token = token.map_err(|e| io::Error::other(e.to_string()))?;
+        Ok(Socket { socket, sides, handle: handle.clone(), token })
+    }
+
+    /// The socket itself.
+    pub fn get(&self) -> &TcpStream {
+        &self.socket
+    }
+    /// Ready once the socket has been told writable: a connection stands, or has failed.
+    pub fn poll_writable(&self, cx: &Context<'_>) -> Poll<()> {
+        if self.sides.write.ready.get() {
+            return Poll::Ready(());
+        }
+        self.sides.write.wait(cx);
+        Poll::Pending
+    }
+    /// Reads; 0 bytes: the other side has ended.
+    pub fn poll_read(&self, cx: &Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        self.sides.read.poll(cx, || (&*self.socket).read(buf))
+    }
+    /// Writes what the kernel takes.
+    pub fn poll_write(&self, cx: &Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.sides.write.poll(cx, || (&*self.socket).write(buf))
+    }
+    /// Ends our side.
+    pub fn shutdown(&self) -> io::Result<()> {
+        match self.socket.shutdown(Shutdown::Write) {
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+            done => done,
+        }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
