Whether HEADERS have left is asked only when it matters

Change: the ledger asks by Confirm when the connect time-out falls due or a drain is told; what comes back implies it. The time-out header is never indexed, since it is never the same twice.

--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -123,7 +123,7 @@
     ListFailed,
     /// A call came in.
     Call(Call),
-    /// The HEADERS of an attempt have left.
+    /// The HEADERS of an attempt have left: asked for by `Confirm`, and implied by whatever comes back.
     Opened {
         /// The call.
         call: CallId,
@@ -225,6 +225,13 @@
         /// The attempt.
         attempt: u32,
     },
+    /// If the HEADERS of an attempt have left, say so (`Opened`); if not, withdraw it.
+    Confirm {
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: u32,
+    },
     /// Pass the piece just told on to the client.
     Pass {
         /// The call.
@@ -287,9 +294,11 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
-    /// Its HEADERS have not left yet.
+    /// Its HEADERS are on their way, or have left unasked.
     Opening,
-    /// They have.
+    /// They were to be confirmed.
+    Confirming,
+    /// They have left.
     Open,
     /// It was withdrawn; the module hears this outcome when that has left.
     Closing(Outcome),
@@ -608,7 +617,7 @@
             let mut opening: Vec<CallId> = opening.map(|(id, _)| *id).collect();
             opening.sort();
             for id in opening {
-                self.withdraw(id, Outcome::Cancelled, out);
+                self.confirm(id, out);
             }
         }
     }
@@ -700,7 +709,7 @@
 
     fn on_opened(&mut self, id: CallId, attempt: u32) {
         let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
-        if a.number == attempt && a.phase == Phase::Opening {
+        if a.number == attempt && matches!(a.phase, Phase::Opening | Phase::Confirming) {
             a.phase = Phase::Open;
             if let Some(timer) = a.timer.take() {
                 self.timers.clear(timer);
@@ -808,6 +817,17 @@
         self.settle(id);
     }
 
+    fn confirm(&mut self, id: CallId, out: &mut Vec<Command>) {
+        let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
+        a.phase = Phase::Confirming;
+        if let Some(timer) = a.timer.take() {
+            self.timers.clear(timer);
+        }
+        let at = self.now.plus(self.config.settings.connect_timeout);
+        a.timer = Some(self.timers.set(at.0, Due::Attempt(id, a.number)));
+        out.push(Command::Confirm { call: id, attempt: a.number });
+    }
+
     fn withdraw(&mut self, id: CallId, reason: Outcome, out: &mut Vec<Command>) {
         let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
         if matches!(a.phase, Phase::Closing(_)) {
@@ -962,10 +982,11 @@
             return;
         }
         match a.phase {
-            // It may leave while this is decided: nothing is promised of it.
-            Phase::Opening | Phase::Open => self.withdraw(id, Outcome::TimedOut, out),
-            // A connection that takes not even a reset is dropped, which ends all that is on it.
-            Phase::Closing(_) => {
+            // Most have left long ago, and asking for each at once would cost more than the answer is worth.
+            Phase::Opening => self.confirm(id, out),
+            Phase::Open => self.withdraw(id, Outcome::TimedOut, out),
+            // A connection that takes nothing, not even a reset, is dropped, which ends all that is on it.
+            Phase::Confirming | Phase::Closing(_) => {
                 a.timer = None;
                 let worker = a.worker;
                 self.account.drops += 1;
--- a/net/front/src/attempts.rs
+++ b/net/front/src/attempts.rs
@@ -49,10 +49,16 @@
             if flag.poll(cx) {
                 exchange.withdraw();
             }
+            if flag.asked() {
+                if exchange.left() {
+                    hub.feed(Input::Opened { call: io.id, attempt: number });
+                } else {
+                    exchange.withdraw();
+                }
+            }
             exchange.poll(cx)
         });
         match news.await {
-            News::Opened => hub.feed(Input::Opened { call: io.id, attempt: number }),
             News::Message(message) if io.unary => match response(io, &message) {
                 Ok(message) => *io.staged.borrow_mut() = Some(message),
                 Err(why) => exchange.reject(why),
@@ -91,12 +97,12 @@
     let connection = std::future::poll_fn(|cx| match Pin::new(&mut connected).poll(cx) {
         Poll::Ready(Ok(c)) => Poll::Ready(Ok(c)),
         Poll::Ready(Err(_)) => Poll::Ready(Err(Seen::ConnectRefused)),
-        Poll::Pending if flag.poll(cx) => Poll::Ready(Err(Seen::ConnectTimedOut)),
+        Poll::Pending if flag.poll(cx) || flag.asked() => Poll::Ready(Err(Seen::ConnectTimedOut)),
         Poll::Pending => Poll::Pending,
     });
     let mut connection = connection.await?;
     let ready = std::future::poll_fn(|cx| {
-        if flag.poll(cx) {
+        if flag.poll(cx) || flag.asked() {
             return Poll::Ready(Err(Seen::NeverLeft));
         }
         connection.send.poll_ready(cx).map_err(|_| Seen::NeverLeft)
@@ -118,7 +124,9 @@
     }
     headers.insert(http::header::TE, HeaderValue::from_static("trailers"));
     headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/grpc"));
-    if let Some(value) = budget.and_then(|b| HeaderValue::from_str(&spell_timeout(b)).ok()) {
+    if let Some(mut value) = budget.and_then(|b| HeaderValue::from_str(&spell_timeout(b)).ok()) {
+        // Never the same twice: it would only push useful entries out of the header table (RFC 7541, 7.1.3).
+        value.set_sensitive(true);
         headers.insert(HeaderName::from_static("grpc-timeout"), value);
     }
     request
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -88,12 +88,24 @@
 #[derive(Default)]
 pub struct Flag {
     set: Cell<bool>,
+    confirm: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Flag {
     fn raise(&self) {
         self.set.set(true);
+        self.wake();
+    }
+    fn ask(&self) {
+        self.confirm.set(true);
+        self.wake();
+    }
+    /// Whether it was asked since the last time if its HEADERS have left.
+    pub fn asked(&self) -> bool {
+        self.confirm.take()
+    }
+    fn wake(&self) {
         self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
     /// Whether it is raised; wakes the task when it is.
@@ -286,6 +298,11 @@
                     flag.raise();
                 }
             }
+            Command::Confirm { call, .. } => {
+                if let Some(flag) = self.state.borrow().attempts.get(&call) {
+                    flag.ask();
+                }
+            }
             Command::Pass { call } => {
                 if let Some(io) = self.state.borrow().calls.get(&call) {
                     if let Some(piece) = io.staged.borrow_mut().take() {
--- a/net/grpc/src/exchange.rs
+++ b/net/grpc/src/exchange.rs
@@ -45,8 +45,6 @@
 /// What an exchange has to tell.
 #[derive(Debug)]
 pub enum News {
-    /// The request's HEADERS have left.
-    Opened,
     /// A message came.
     Message(Bytes),
     /// It has ended; nothing follows.
@@ -62,7 +60,6 @@
     body: Option<RecvStream>,
     assembler: Assembler,
     unary: bool,
-    opened: bool,
     progress: Progress,
     unread: usize,
     data_done: bool,
@@ -94,7 +91,6 @@
             body: None,
             assembler: Assembler::new(limit),
             unary,
-            opened: false,
             progress: Progress::Nothing,
             unread: 0,
             data_done: false,
@@ -104,6 +100,11 @@
         })
     }
 
+    /// Whether its HEADERS have left.
+    pub fn left(&self) -> bool {
+        self.connection.wire.borrow().peek(self.stream).is_some_and(|m| m.headers_out)
+    }
+
     /// Withdraws it: RST_STREAM with CANCEL once its HEADERS have left.
     pub fn withdraw(&mut self) {
         self.close(Ending::Withdrawn);
@@ -133,19 +134,15 @@
         if self.ended {
             return Poll::Pending;
         }
-        let (headers_out, closed, cut) = {
-            let mut wire = self.connection.wire.borrow_mut();
-            let cut = wire.cut;
-            match wire.marks(self.stream, cx) {
-                Some(m) => (m.headers_out, m.reset_out || m.end_in && m.end_out, cut),
-                None => (true, true, cut),
-            }
-        };
-        if headers_out && !self.opened {
-            self.opened = true;
-            return Poll::Ready(News::Opened);
-        }
         if self.closing.is_some() {
+            let (headers_out, closed, cut) = {
+                let mut wire = self.connection.wire.borrow_mut();
+                let cut = wire.cut;
+                match wire.marks(self.stream, cx) {
+                    Some(m) => (m.headers_out, m.reset_out || m.end_in && m.end_out, cut),
+                    None => (true, true, cut),
+                }
+            };
             if headers_out && !self.reset_sent {
                 self.reset_sent = true;
                 self.send.send_reset(Reason::CANCEL);
--- a/net/grpc/src/io.rs
+++ b/net/grpc/src/io.rs
@@ -21,6 +21,7 @@
     pub reset_out: bool,
     /// The peer has ended or reset it.
     pub end_in: bool,
+    /// Wants to know of what passes: only a withdrawal does.
     waker: Option<Waker>,
 }
 
