Unary requests are read to their end; withdrawn streams are remembered

Cause: a client that ends a unary request with an empty frame of its own (tonic does) found its stream closed by the stand-in's early answer; after 1,024 such frames the HTTP/2 library ended the whole connection (ENHANCE_YOUR_CALM). The same would have hit a worker's connection after many withdrawn attempts, with all that was open on it. Change: one message, then the end of the stream; 10,000 withdrawn streams are remembered for 30 s on a worker's connection, and late frames on them never end it; 1,000 cancels at once are borne on a client's.

--- a/benches/cost/src/proxy.rs
+++ b/benches/cost/src/proxy.rs
@@ -104,7 +104,8 @@
     runtime.block_on(async {
         let mut clients = Vec::new();
         for w in workers {
-            let channel = Channel::from_shared(format!("http://{w}"))?.tcp_nodelay(true).connect().await?;
+            let channel = Channel::from_shared(format!("http://{w}"))?.tcp_nodelay(true);
+            let channel = channel.connect().await?;
             clients.push(Client::new(channel));
         }
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
--- a/benches/cost/src/worker.rs
+++ b/benches/cost/src/worker.rs
@@ -25,7 +25,8 @@
             tasks.spawn(async move {
                 let (parts, body) = request.into_parts();
                 let mut messages = Messages::new(body, 1 << 22);
-                let _ = poll_fn(|cx| messages.poll_next(cx)).await;
+                let mut first = None;
+                let _ = poll_fn(|cx| messages.poll_one(&mut first, cx)).await;
                 let call = parts.uri.path().ends_with("Infer");
                 if call && silent {
                     return poll_fn(|cx| respond.poll_reset(cx).map(drop)).await;
--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -81,18 +81,7 @@
 async fn one(hub: &Hub, body: RecvStream) -> Result<Option<Bytes>, Status> {
     let mut messages = Messages::new(body, hub.setup.clients.message_bytes);
     let mut first: Option<Bytes> = None;
-    let mut read = |cx: &mut Context<'_>| loop {
-        match messages.poll_next(cx) {
-            Poll::Pending => return Poll::Pending,
-            Poll::Ready(Ok(Some(message))) if first.is_none() => first = Some(message),
-            Poll::Ready(Ok(Some(_))) => {
-                let why = "two messages in a unary request".into();
-                return Poll::Ready(Err(Status(Code::InvalidArgument, why)));
-            }
-            Poll::Ready(Ok(None)) => return Poll::Ready(Ok(first.take())),
-            Poll::Ready(Err(bad)) => return Poll::Ready(Err(bad_stream(bad))),
-        }
-    };
+    let mut read = |cx: &mut Context<'_>| messages.poll_one(&mut first, cx).map_err(bad_stream);
     // Nearly always whole at once; only a slow one costs a timer.
     let now = poll_fn(|cx| Poll::Ready(read(cx))).await;
     if let Poll::Ready(done) = now {
@@ -106,6 +95,7 @@
 fn bad_stream(bad: BadStream) -> Status {
     match bad {
         BadStream::Gone => Status(Code::Cancelled, "the client left".into()),
+        BadStream::SecondMessage => Status(Code::InvalidArgument, "two messages in a unary request".into()),
         BadStream::CutShort => Status(Code::InvalidArgument, "the stream ended within a message".into()),
         BadStream::Frame(bad) => {
             let code = match bad {
--- a/net/grpc/src/link.rs
+++ b/net/grpc/src/link.rs
@@ -13,6 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 /// Bounds of a link's connection.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +30,11 @@
     }
 }
 
+/// Withdrawn streams that are remembered on one connection ...
+const REMEMBERED: usize = 10_000;
+/// ... and for how long.
+const REMEMBERED_FOR: Duration = Duration::from_secs(30);
+
 /// A connection that stands.
 #[derive(Clone)]
 pub struct Connection {
@@ -182,6 +188,11 @@
             .initial_connection_window_size((1 << 31) - 1)
             .max_header_list_size(self.limits.header_bytes)
             .enable_push(false)
+            // Of withdrawn streams the answers may still be under way. What the library no longer remembers it takes for
+            // a fault of the server, and after enough of them it would end the connection with all that is open on it.
+            .max_concurrent_reset_streams(REMEMBERED)
+            .reset_stream_duration(REMEMBERED_FOR)
+            .max_local_error_reset_streams(None)
             .handshake::<_, Bytes>(io);
         let mut handshake = std::pin::pin!(handshake);
         let (send, mut connection) = std::future::poll_fn(|cx| {
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -193,6 +193,9 @@
             .initial_connection_window_size((1 << 31) - 1)
             .max_concurrent_streams(limits.streams)
             .max_header_list_size(limits.header_bytes)
+            // Clients may cancel many calls at once; those that only open and cancel are still cut off.
+            .max_concurrent_reset_streams(1000)
+            .max_pending_accept_reset_streams(1000)
             .max_send_buffer_size(limits.stream_window as usize)
             .handshake::<_, Bytes>(io);
         let limit = self.spawner.sleep(limits.preface_within);
@@ -263,6 +266,8 @@
     Frame(BadFrame),
     /// The stream ended within a message.
     CutShort,
+    /// A unary request of two messages.
+    SecondMessage,
 }
 
 /// The messages that a client sends on one stream.
@@ -277,6 +282,23 @@
         Messages { body, assembler: Assembler::new(limit) }
     }
 
+    /// The one message of a unary request, read to the end of its stream: a client that ends it with a frame of its own
+    /// must not find the stream closed. `None` if none came; a second one is an error.
+    pub fn poll_one(
+        &mut self,
+        first: &mut Option<Bytes>,
+        cx: &mut std::task::Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, BadStream>> {
+        loop {
+            match std::task::ready!(self.poll_next(cx)) {
+                Ok(Some(message)) if first.is_none() => *first = Some(message),
+                Ok(Some(_)) => return Poll::Ready(Err(BadStream::SecondMessage)),
+                Ok(None) => return Poll::Ready(Ok(first.take())),
+                Err(bad) => return Poll::Ready(Err(bad)),
+            }
+        }
+    }
+
     /// The next message; `None` when the client has sent its last.
     pub fn poll_next(&mut self, cx: &mut std::task::Context<'_>) -> Poll<Result<Option<Bytes>, BadStream>> {
         loop {
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -248,7 +248,8 @@
     let (parts, body) = request.into_parts();
     let method = parts.uri.path().strip_prefix(names::SERVICE).unwrap_or("").to_string();
     let mut messages = Messages::new(body, Limits::default().message_bytes);
-    let message = poll_fn(|cx| messages.poll_next(cx)).await;
+    let mut first = None;
+    let message = poll_fn(|cx| messages.poll_one(&mut first, cx)).await;
     let Ok(Some(message)) = message else {
         return refuse(&mut respond, trailers(Code::InvalidArgument, "no message"));
     };
