--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -156,8 +156,19 @@
         while Instant::now() < end && !(self.hub.with_front(Front::idle) && self.server.connections() == 0) {
             self.turn(Duration::from_millis(20))?;
         }
+        Ok(self.account())
+    }
+
+    /// The account's line.
+    pub fn account(&self) -> String {
         let (account, open) = self.hub.account();
-        Ok(format!("{account} open={open}"))
+        let workers = self.hub.with_front(Front::ready_workers);
+        format!("{account} open={open} workers={workers}")
+    }
+
+    /// Whether no call, attempt or order is left.
+    pub fn idle(&self) -> bool {
+        self.hub.with_front(Front::idle)
     }
 
     /// One turn of the loop, at most so long.
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -128,6 +128,12 @@
         self.cut();
     }
 
+    /// Calls held, waiting or running.
+    pub fn held(&self) -> usize {
+        let (waiting, running, _) = self.machine.borrow().load_figures();
+        waiting + running as usize
+    }
+
     /// Whether it was pushed over while cold.
     pub fn fallen(&self) -> bool {
         self.machine.borrow().fallen()
@@ -417,6 +423,8 @@
         }
     }
     if faults.cut_after.get() == Some(steps) {
+        // What was sent leaves first: only the trailers are lost.
+        standin.spawner.sleep(Duration::from_millis(5)).await;
         return standin.cut();
     }
     let mut map = standin.told(Code::Ok, "");
--- /dev/null
+++ b/tests/path/src/peer.rs
@@ -0,0 +1,159 @@
+//! A peer that speaks HTTP/2 frame by frame, as no library would: it does what its script says, and nothing else.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Frame types of RFC 9113, section 6.
+pub mod kind {
+    #![allow(missing_docs)]
+    pub const DATA: u8 = 0;
+    pub const HEADERS: u8 = 1;
+    pub const RST_STREAM: u8 = 3;
+    pub const SETTINGS: u8 = 4;
+    pub const PING: u8 = 6;
+    pub const GOAWAY: u8 = 7;
+}
+
+/// A frame with its payload.
+#[derive(Debug, Clone)]
+pub struct Frame {
+    /// Its type.
+    pub kind: u8,
+    /// Its flags.
+    pub flags: u8,
+    /// Its stream.
+    pub stream: u32,
+    /// Its payload.
+    pub payload: Vec<u8>,
+}
+
+/// One connection of a peer.
+pub struct Wire(TcpStream);
+
+impl Wire {
+    /// Of a connection that stands; reads give up after 5 s.
+    pub fn new(socket: TcpStream) -> Wire {
+        socket.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+        socket.set_nodelay(true).expect("no delay");
+        Wire(socket)
+    }
+    /// Sends a frame.
+    pub fn send(&mut self, kind: u8, flags: u8, stream: u32, payload: &[u8]) {
+        let length = (payload.len() as u32).to_be_bytes();
+        let frame = [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat();
+        // The other side may have gone; the script's next read tells.
+        let _ = self.0.write_all(&frame);
+    }
+    /// Sends bytes as they are.
+    pub fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.0.write_all(bytes);
+    }
+    /// The next frame; none: the connection ended.
+    pub fn frame(&mut self) -> Option<Frame> {
+        let mut head = [0; 9];
+        self.0.read_exact(&mut head).ok()?;
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+        let mut payload = vec![0; length];
+        self.0.read_exact(&mut payload).ok()?;
+        let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+        Some(Frame { kind: head[3], flags: head[4], stream, payload })
+    }
+    /// The streams of the next `n` requests that are whole, settings acknowledged on the way.
+    pub fn requests(&mut self, n: usize) -> Vec<u32> {
+        let mut streams = Vec::new();
+        while streams.len() < n {
+            let Some(f) = self.frame() else { return streams };
+            match f.kind {
+                kind::SETTINGS if f.flags & 1 == 0 => self.send(kind::SETTINGS, 1, 0, &[]),
+                kind::PING if f.flags & 1 == 0 => self.send(kind::PING, 1, 0, &f.payload),
+                kind::DATA | kind::HEADERS if f.flags & 1 != 0 => streams.push(f.stream),
+                _ => {}
+            }
+        }
+        streams
+    }
+    /// Resets a stream.
+    pub fn reset(&mut self, stream: u32, code: u32) {
+        self.send(kind::RST_STREAM, 0, stream, &code.to_be_bytes());
+    }
+    /// GOAWAY with the last stream that was taken.
+    pub fn goaway(&mut self, last: u32) {
+        self.send(kind::GOAWAY, 0, 0, &[last.to_be_bytes(), 0u32.to_be_bytes()].concat());
+    }
+    /// Response headers.
+    pub fn headers(&mut self, stream: u32) {
+        let block = [&[0x88][..], &literal("content-type", "application/grpc")].concat();
+        self.send(kind::HEADERS, 4, stream, &block);
+    }
+    /// A message, framed.
+    pub fn message(&mut self, stream: u32, message: &[u8]) {
+        let head = [&[0][..], &(message.len() as u32).to_be_bytes()].concat();
+        self.send(kind::DATA, 0, stream, &[&head, message].concat());
+    }
+    /// Trailers that end a stream.
+    pub fn trailers(&mut self, stream: u32, fields: &[(&str, &str)]) {
+        let block: Vec<u8> = fields.iter().flat_map(|(k, v)| literal(k, v)).collect();
+        self.send(kind::HEADERS, 5, stream, &block);
+    }
+    /// A whole unary answer.
+    pub fn answer(&mut self, stream: u32) {
+        self.headers(stream);
+        // ModelInferResponse with model_name "echo".
+        self.message(stream, b"\x0a\x04echo");
+        self.trailers(stream, &[("grpc-status", "0")]);
+    }
+}
+
+/// A header field, literal without indexing, no Huffman code (RFC 7541, section 6.2.2).
+pub fn literal(name: &str, value: &str) -> Vec<u8> {
+    let text = |t: &str| [&[u8::try_from(t.len()).expect("short")][..], t.as_bytes()].concat();
+    [vec![0], text(name), text(value)].concat()
+}
+
+/// A worker by script: called with each connection's number and its wire, after the preface and settings.
+pub struct Peer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What the script reports.
+    pub reports: mpsc::Receiver<String>,
+}
+
+/// Starts a worker by script.
+pub fn worker(mut script: impl FnMut(usize, Wire, &mpsc::Sender<String>) + Send + 'static) -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (told, reports) = mpsc::channel();
+    std::thread::spawn(move || {
+        for (n, socket) in listener.incoming().enumerate() {
+            let Ok(socket) = socket else { return };
+            let mut wire = Wire::new(socket);
+            let mut preface = [0; 24];
+            if wire.0.read_exact(&mut preface).is_err() {
+                continue;
+            }
+            wire.send(kind::SETTINGS, 0, 0, &[]);
+            script(n, wire, &told);
+        }
+    });
+    Peer { address, reports }
+}
+
+/// A client by script: the connection after preface and settings.
+pub fn client(address: SocketAddr) -> Wire {
+    let mut wire = Wire::new(TcpStream::connect(address).expect("a connection"));
+    wire.raw(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    wire.send(kind::SETTINGS, 0, 0, &[]);
+    wire
+}
+
+/// The header block of a gRPC request, with further fields.
+pub fn request_block(path: &str, more: &[(&str, &str)]) -> Vec<u8> {
+    let fields =
+        [(":method", "POST"), (":scheme", "http"), (":path", path), (":authority", "t"), ("te", "trailers")];
+    let mut block: Vec<u8> = fields.iter().flat_map(|(k, v)| literal(k, v)).collect();
+    block.extend(literal("content-type", "application/grpc"));
+    block.extend(more.iter().flat_map(|(k, v)| literal(k, v)));
+    block
+}
--- /dev/null
+++ b/tests/path/tests/abuse.rs
@@ -0,0 +1,171 @@
+//! Clients that do what no client should.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use tansy_path_tests::peer::{self, kind};
+use tansy_path_tests::{request, run, Gate, Workers, SETTINGS};
+
+const INFER: &str = "/inference.GRPCInferenceService/ModelInfer";
+
+fn start(settings: &str) -> (Gate, Workers) {
+    let w = Workers::start(1);
+    (Gate::start(settings, &[("w0", w.addresses[0])]), w)
+}
+
+fn still_serves(gate: &Gate) {
+    run(async {
+        let mut c = gate.client().await;
+        assert_eq!(c.model_infer(request("echo", "ok", &[])).await.unwrap().into_inner().id, "ok");
+    });
+    gate.account().check();
+}
+
+/// Reads until the other side ends; fails if it does not within 10 s.
+fn ended(socket: &mut TcpStream) {
+    socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut buffer = [0; 4096];
+    loop {
+        match socket.read(&mut buffer) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return,
+            Err(e) => panic!("the connection stays open: {e}"),
+        }
+    }
+}
+
+#[test]
+fn garbage_ends_its_connection_only() {
+    let (gate, _workers) = start(SETTINGS);
+    for garbage in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0xff; 4096],
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+    ] {
+        let mut s = TcpStream::connect(gate.grpc).unwrap();
+        s.write_all(garbage).unwrap();
+        ended(&mut s);
+    }
+    still_serves(&gate);
+}
+
+#[test]
+fn a_preface_that_is_never_finished_is_not_waited_for() {
+    let (gate, _workers) = start(&format!("{SETTINGS}\nfront: preface: 100ms\n"));
+    let mut s = TcpStream::connect(gate.grpc).unwrap();
+    s.write_all(b"PRI * HTTP").unwrap();
+    let began = Instant::now();
+    ended(&mut s);
+    assert!(began.elapsed() < Duration::from_secs(5));
+    still_serves(&gate);
+}
+
+#[test]
+fn a_huge_header_is_refused_and_the_connection_goes_on() {
+    let (gate, workers) = start(SETTINGS);
+    let mut c = peer::client(gate.grpc);
+    // 200 fields of 200 bytes: 40 KB, over the 16 KiB allowed, in continuation frames.
+    let value = "v".repeat(120);
+    let more: Vec<(String, String)> = (0..250).map(|n| (format!("x-{n}"), value.clone())).collect();
+    let more: Vec<(&str, &str)> = more.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    let block = peer::request_block(INFER, &more);
+    let chunks: Vec<&[u8]> = block.chunks(16_000).collect();
+    for (n, chunk) in chunks.iter().enumerate() {
+        let end = if n + 1 == chunks.len() { 4 } else { 0 };
+        c.send(if n == 0 { kind::HEADERS } else { 9 }, end, 1, chunk);
+    }
+    // Answered by an error of HTTP, a reset or the end of the connection: never by a call.
+    let mut answered = false;
+    while let Some(f) = c.frame() {
+        if f.stream == 1 || f.kind == kind::GOAWAY {
+            answered = true;
+            break;
+        }
+    }
+    assert!(answered);
+    assert_eq!(workers.ran(), [0]);
+    still_serves(&gate);
+}
+
+#[test]
+fn a_message_of_a_hundred_megabytes_is_refused_before_it_is_held() {
+    let (gate, workers) = start(SETTINGS);
+    run(async {
+        let mut c = gate.client().await.max_encoding_message_size(usize::MAX);
+        let mut big = request("echo", "big", &[]);
+        big.raw_input_contents = vec![vec![0u8; 100 << 20]];
+        let refused = c.model_infer(big).await.unwrap_err();
+        assert_eq!(refused.code(), tonic::Code::ResourceExhausted, "{refused:?}");
+        assert!(refused.message().contains("over the limit of 4194304"), "{refused:?}");
+    });
+    assert_eq!(workers.ran(), [0]);
+    still_serves(&gate);
+}
+
+#[test]
+fn a_malformed_message_is_an_invalid_argument_and_reaches_no_worker() {
+    let (gate, workers) = start(SETTINGS);
+    let mut c = peer::client(gate.grpc);
+    c.send(kind::HEADERS, 4, 1, &peer::request_block(INFER, &[]));
+    // A field 5 whose length runs over the message's end.
+    c.send(kind::DATA, 1, 1, b"\x00\x00\x00\x00\x03\x2a\x7f\x00");
+    loop {
+        let f = c.frame().expect("an answer");
+        if f.kind == kind::HEADERS {
+            assert_eq!((f.stream, f.flags & 1), (1, 1), "trailers only");
+            break;
+        }
+    }
+    assert_eq!(workers.ran(), [0]);
+    still_serves(&gate);
+    assert_eq!(gate.account().get("taken"), 1);
+}
+
+#[test]
+fn a_client_that_does_not_read_slows_only_its_own_call() {
+    let (gate, workers) = start(SETTINGS);
+    let mut c = peer::client(gate.grpc);
+    c.send(
+        kind::HEADERS,
+        4,
+        1,
+        &peer::request_block("/inference.GRPCInferenceService/ModelStreamInfer", &[]),
+    );
+    // ModelInferRequest: echo, pieces = 100000, one raw input of 30,000 bytes: 3 GB if all of it were read.
+    let raw = vec![7u8; 30_000];
+    let length = [0xb0u8, 0xea, 0x01];
+    let message =
+        [&b"\x0a\x04echo\x22\x0e\x0a\x06pieces\x12\x04\x10\xa0\x8d\x06"[..], b"\x3a", &length, &raw].concat();
+    let head = [&[0u8][..], &(message.len() as u32).to_be_bytes()].concat();
+    let all = [head, message].concat();
+    for part in all.chunks(16_000) {
+        c.send(kind::DATA, 0, 1, part);
+    }
+    // It has sent its call and reads nothing; others are served meanwhile.
+    tansy_path_tests::until("its call runs", || workers.ran()[0] > 0);
+    run(async {
+        let mut c = gate.client().await;
+        for _ in 0..40 {
+            c.model_infer(request("echo", "other", &[("work_ms", 10)])).await.unwrap();
+        }
+    });
+    let pieces = gate.peek().get("pieces");
+    assert!(pieces < 200, "{pieces} pieces of 30 KB wait for a client that reads none");
+    drop(c);
+    let a = gate.account();
+    a.check();
+    assert_eq!((a.get("served"), a.get("departed") + a.get("failed")), (40, 1));
+}
+
+#[test]
+fn ten_thousand_idle_connections_leave_room_for_one_that_calls() {
+    // Both ends are in this process.
+    let allowed = rlimit::increase_nofile_limit(30_000).unwrap_or(1024);
+    let count = 10_000.min(allowed.saturating_sub(200) / 2) as usize;
+    let (gate, _workers) = start(SETTINGS);
+    let idle: Vec<peer::Wire> = (0..count).map(|_| peer::client(gate.grpc)).collect();
+    still_serves(&gate);
+    assert_eq!(idle.len(), count);
+    assert!(count >= 400, "only {allowed} descriptors allowed");
+}
