--- /dev/null
+++ b/programs/day/src/day.cue
@@ -0,0 +1,34 @@
+// The settings of the scripted bad day: two rooms, three kinds of calls, every rule with a figure.
+zones: ["room-a", "room-b"]
+classes: {
+    read:  {aim: 400ms, deadline: 1500ms, late_worth: 0.3, streamed: true}
+    book:  {aim: 400ms, deadline: 1500ms, late_worth: 0.3, effect: "keyed", window: 20s}
+    post:  {aim: 600ms, deadline: 2s, late_worth: 0.3, effect: "unsafe"}
+}
+#Model: {lanes: 16, memory: 300MB, load_time: 80ms}
+functions: {
+    "read-0": #Model & {class: "read"}
+    "read-1": #Model & {class: "read"}
+    "read-2": #Model & {class: "read"}
+    "read-3": #Model & {class: "read"}
+    "read-4": #Model & {class: "read"}
+    "read-5": #Model & {class: "read"}
+    "book-0": #Model & {class: "book"}
+    "book-1": #Model & {class: "book"}
+    "book-2": #Model & {class: "book"}
+    "post-0": #Model & {class: "post"}
+    "post-1": #Model & {class: "post"}
+    "post-2": #Model & {class: "post"}
+}
+front: {siblings: 2, drain: 2s}
+worker: {
+    connect_timeout: 200ms
+    idle_life:       4s
+    order_timeout:   3s
+    cold_from:       0.25
+    warm_up:         6s
+    fall_multiple:   2.5
+    fall_after:      1s
+    drain_grace:     500ms
+    ration:          {free: 10, part: 0.002, period: 5s}
+}
--- /dev/null
+++ b/programs/day/src/lib.rs
@@ -0,0 +1,45 @@
+//! The scripted bad day: processes, load, faults, and the auditor's verdict.
+//!
+//! - [`load`]: the clients.
+//! - [`cast`]: the processes and the relay between them.
+//! - [`script`]: what goes wrong, and when.
+
+pub mod cast;
+pub mod load;
+pub mod script;
+
+use std::collections::BTreeMap;
+use tansy_audit::judge::Effect;
+use tansy_audit::Rules;
+use tansy_settings::Settings;
+
+/// The day's settings.
+pub const SETTINGS: &str = include_str!("day.cue");
+/// A list is looked at every 200 ms; it has been read by then, also on a busy machine.
+const LIST_READ: i64 = 400_000;
+/// The relay's clock against the processes': time for a wake-up on a busy machine.
+const SLACK: i64 = 15_000;
+
+/// What the auditor is told of the settings.
+pub fn rules(settings: &Settings, cores: f64) -> Rules {
+    use tansyrouter::Effect as E;
+    let m = &settings.front.settings;
+    let function = |f: &tansy_settings::FunctionSpec| {
+        let c = &m.classes[f.class];
+        let effect = match c.effect {
+            E::Safe => Effect::Safe,
+            E::Keyed { window, .. } => Effect::Keyed(window),
+            E::Unsafe => Effect::Unsafe,
+        };
+        (f.name.clone(), (effect, c.deadline))
+    };
+    Rules {
+        functions: settings.front.functions.iter().map(function).collect::<BTreeMap<_, _>>(),
+        list_read: LIST_READ,
+        drain_grace: m.drain_grace,
+        cold: (m.cold_from, m.warm_up, cores),
+        fall: (m.fall_multiple, m.fall_after),
+        ration: m.ration.map(|r| (r.free, r.part, r.period)),
+        slack: SLACK,
+    }
+}
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -1,6 +1,8 @@
 //! The gateway as a library: settings in, a front end that serves out. The program around it reads arguments and
 //! waits for signals.
 
+pub mod cli;
+
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
 use std::fs::File;
--- /dev/null
+++ b/standins/audit/src/lib.rs
@@ -0,0 +1,16 @@
+//! Judges the rules from the records of sockets alone.
+//!
+//! It shares no code with the gateway's ledger: it reads the bytes that passed a relay (HTTP/2 frames, header blocks,
+//! messages decoded in full), joins the two legs of a call by the request's id, and looks for breaches. What the
+//! sockets can't show (when a list of workers was changed, when a process was killed) are marks in the record.
+//!
+//! - [`record`]: what a relay writes down.
+//! - [`wire`]: bytes to streams with headers, messages and ends.
+//! - [`judge`]: streams to calls, attempts, and breaches.
+
+pub mod judge;
+pub mod record;
+pub mod wire;
+
+pub use judge::{audit, Audit, Breach, Rules};
+pub use record::{Entry, Link, Mark, What};
