--- /dev/null
+++ b/programs/day/tests/day.rs
@@ -0,0 +1,34 @@
+//! A short bad day with the real programs: every step of the script, no rule broken.
+
+use std::process::Command;
+
+fn day(arguments: &[&str]) -> (Option<i32>, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_tansy-day")).args(arguments).output().expect("the day starts");
+    let text = format!("{}{}", String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr));
+    (out.status.code(), text)
+}
+
+fn count(text: &str, line: &str, name: &str) -> u64 {
+    let line =
+        text.lines().find(|l| l.starts_with(line)).unwrap_or_else(|| panic!("no line {line} in {text}"));
+    let mut words = line.split_whitespace();
+    words.find(|w| *w == name).unwrap_or_else(|| panic!("no {name} in {line}"));
+    words
+        .next()
+        .and_then(|w| w.trim_end_matches(';').parse().ok())
+        .unwrap_or_else(|| panic!("{name} in {line}"))
+}
+
+#[test]
+fn a_short_bad_day_breaks_no_rule() {
+    let (code, text) = day(&["--seconds", "10", "--rate", "150", "--seed", "7"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("verdict: no rule broken, no call with two attempts open"), "{text}");
+    let (begun, started) = (count(&text, "clients:", "begun"), count(&text, "sockets:", "started"));
+    assert_eq!(begun, 1500, "{text}");
+    // What was begun while a front end was dead never started; the rest did.
+    assert!(started > 1300 && started <= begun, "{text}");
+    assert!(count(&text, "sockets:", "served") > 1200, "{text}");
+    assert!(count(&text, "sockets:", "repeats") > 0, "faults led to further attempts: {text}");
+    assert!(!text.contains(" open "), "each started call has an end: {text}");
+}
--- a/standins/audit/src/judge.rs
+++ b/standins/audit/src/judge.rs
@@ -546,12 +546,12 @@
     fn rationed(&self) -> Vec<Breach> {
         let Some((free, part, span)) = self.rules.ration else { return Vec::new() };
         let mut out = Vec::new();
-        for (at, front) in &self.orders {
+        for (n, (at, front)) in self.orders.iter().enumerate() {
             // One that was killed comes back as another, with nothing given and nothing taken.
             let born =
                 self.kills.iter().filter(|(t, f)| f == front && t <= at).map(|(t, _)| *t).max().unwrap_or(0);
             let within = |t: i64| t >= born && t <= *at && at - t < span;
-            let given = self.orders.iter().filter(|(t, f)| f == front && within(*t)).count() as f64;
+            let given = self.orders[..=n].iter().filter(|(t, f)| f == front && within(*t)).count() as f64;
             // A call that came just before the window's edge at the relay may have come just after it at the front end.
             let near = |t: i64| t >= born && t <= *at && at - t < span + self.rules.slack;
             let taken = self.calls.values().filter(|c| c.front == *front && near(c.at)).count() as f64;
--- /dev/null
+++ b/standins/audit/tests/breaches.rs
@@ -0,0 +1,240 @@
+//! Records with one breach each, and the same records without it.
+
+use prost::Message;
+use std::collections::BTreeMap;
+use tansy_audit::judge::{Effect, End};
+use tansy_audit::{audit, Entry, Link, Mark, Rules, What};
+use tansy_inference::inference as pb;
+
+fn rules() -> Rules {
+    let functions = [("read", Effect::Safe), ("book", Effect::Keyed(1_000_000)), ("post", Effect::Unsafe)];
+    Rules {
+        functions: functions.iter().map(|(n, e)| (n.to_string(), (*e, 2_000_000))).collect(),
+        list_read: 100_000,
+        drain_grace: 500_000,
+        cold: (0.25, 4_000_000, 1.0),
+        fall: (2.0, 1_000_000),
+        ration: Some((1.0, 0.5, 1_000_000)),
+        slack: 5_000,
+    }
+}
+
+/// A record that is written as it goes.
+#[derive(Default)]
+struct Record {
+    entries: Vec<Entry>,
+    at: i64,
+}
+
+fn literal(name: &str, value: &str) -> Vec<u8> {
+    let text = |t: &str| [&[t.len() as u8][..], t.as_bytes()].concat();
+    [vec![0], text(name), text(value)].concat()
+}
+
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    [&(payload.len() as u32).to_be_bytes()[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
+}
+
+fn message(m: &[u8]) -> Vec<u8> {
+    [&[0][..], &(m.len() as u32).to_be_bytes(), m].concat()
+}
+
+impl Record {
+    fn write(&mut self, connection: u64, what: What) {
+        self.entries.push(Entry { at: self.at, connection, what });
+    }
+    fn open(&mut self, connection: u64, link: Link) {
+        self.write(connection, What::Open(link));
+        self.write(connection, What::Bytes(true, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec()));
+    }
+    fn up(&mut self, connection: u64, bytes: Vec<u8>) {
+        self.write(connection, What::Bytes(true, bytes));
+    }
+    fn down(&mut self, connection: u64, bytes: Vec<u8>) {
+        self.write(connection, What::Bytes(false, bytes));
+    }
+    fn ask(&mut self, connection: u64, stream: u32, method: &str, body: &[u8]) {
+        let block = literal(":path", &format!("/inference.GRPCInferenceService/{method}"));
+        self.up(connection, frame(1, 4, stream, &block));
+        self.up(connection, frame(0, 1, stream, &message(body)));
+    }
+    fn infer(&mut self, connection: u64, stream: u32, function: &str, id: &str, work_ms: i64) {
+        use pb::infer_parameter::ParameterChoice::Int64Param;
+        let work = pb::InferParameter { parameter_choice: Some(Int64Param(work_ms)) };
+        let m = pb::ModelInferRequest {
+            model_name: function.into(),
+            id: id.into(),
+            parameters: BTreeMap::from([("work_ms".to_string(), work)]),
+            ..Default::default()
+        };
+        self.ask(connection, stream, "ModelInfer", &m.encode_to_vec());
+    }
+    fn status(&mut self, connection: u64, stream: u32, fields: &[(&str, &str)]) {
+        let block: Vec<u8> = fields.iter().flat_map(|(k, v)| literal(k, v)).collect();
+        self.down(connection, frame(1, 5, stream, &block));
+    }
+    fn load(&mut self, connection: u64, stream: u32) {
+        let m = pb::RepositoryModelLoadRequest { model_name: "read".into(), ..Default::default() };
+        self.ask(connection, stream, "RepositoryModelLoad", &m.encode_to_vec());
+    }
+    /// A client's connection (1) and two workers' (2, 3), all of front end 0.
+    fn start() -> Record {
+        let mut r = Record::default();
+        r.open(1, Link::Client { front: 0 });
+        r.open(2, Link::Worker { front: 0, worker: 0 });
+        r.open(3, Link::Worker { front: 0, worker: 1 });
+        r
+    }
+    /// The rules that are broken.
+    fn broken(&self) -> Vec<u8> {
+        audit(&self.entries, &rules()).breaches.iter().map(|b| b.rule).collect()
+    }
+}
+
+const OK: &[(&str, &str)] = &[("grpc-status", "0")];
+const REFUSED: &[(&str, &str)] = &[("grpc-status", "14")];
+
+#[test]
+fn a_call_served_breaks_nothing() {
+    let mut r = Record::start();
+    r.infer(1, 1, "post", "a", 1);
+    r.infer(2, 1, "post", "a", 1);
+    r.at = 1000;
+    r.status(2, 1, OK);
+    r.status(1, 1, OK);
+    let a = audit(&r.entries, &rules());
+    assert_eq!((a.started, a.attempts, a.ends.get(&End::Served)), (1, 1, Some(&1)));
+    assert_eq!(a.breaches, []);
+}
+
+#[test]
+fn rule_1_late_twice_never_and_after_the_end() {
+    for (late, broken) in [(1_900_000, vec![]), (2_100_000, vec![1])] {
+        let mut r = Record::start();
+        r.infer(1, 1, "read", "a", 1);
+        r.at = late;
+        r.status(1, 1, OK);
+        assert_eq!(r.broken(), broken, "answered at {late}");
+    }
+    let mut never = Record::start();
+    never.infer(1, 1, "read", "a", 1);
+    never.at = 3_000_000;
+    never.write(0, What::Mark(Mark::Started { worker: 5 }));
+    assert_eq!(never.broken(), [1]);
+    // A front end that drops its client's connection still owes the answer; one that was killed does not.
+    let mut dropped = Record::start();
+    dropped.infer(1, 1, "read", "a", 1);
+    dropped.write(1, What::Close(Some(false)));
+    let mut killed = Record { entries: dropped.entries.clone(), at: 0 };
+    killed.write(0, What::Mark(Mark::Killed { front: 0 }));
+    for (r, broken) in [(&mut dropped, vec![1]), (&mut killed, vec![])] {
+        r.at = 3_000_000;
+        r.write(0, What::Mark(Mark::Started { worker: 5 }));
+        assert_eq!(r.broken(), broken);
+    }
+    let mut after = Record::start();
+    after.infer(1, 1, "read", "a", 1);
+    after.status(1, 1, REFUSED);
+    after.at = 50_000;
+    after.infer(2, 1, "read", "a", 1);
+    assert_eq!(after.broken(), [1]);
+}
+
+#[test]
+fn rule_2_again_only_if_it_never_ran() {
+    let again = |function: &str, first: &dyn Fn(&mut Record), gap: i64| {
+        let mut r = Record::start();
+        r.infer(1, 1, function, "a", 1);
+        r.infer(2, 1, function, "a", 1);
+        r.at += 1000;
+        first(&mut r);
+        r.at += gap;
+        r.infer(3, 1, function, "a", 1);
+        r.at += 1000;
+        r.status(3, 1, OK);
+        r.status(1, 1, OK);
+        r.broken()
+    };
+    let reset = |code: u32| move |r: &mut Record| r.down(2, frame(3, 0, 1, &code.to_be_bytes()));
+    let cut = |r: &mut Record| r.write(2, What::Close(Some(false)));
+    let goaway = |last: u32| {
+        move |r: &mut Record| r.down(2, frame(7, 0, 0, &[last.to_be_bytes(), 0u32.to_be_bytes()].concat()))
+    };
+    let promise =
+        |r: &mut Record| r.status(2, 1, &[("grpc-status", "14"), ("tansy-never-ran", "not-loaded")]);
+    assert_eq!(again("post", &reset(7), 1000), [0u8; 0]);
+    assert_eq!(again("post", &goaway(0), 1000), [0u8; 0]);
+    assert_eq!(again("post", &promise, 1000), [0u8; 0]);
+    assert_eq!(again("post", &reset(2), 1000), [2]);
+    assert_eq!(again("post", &cut, 1000), [2]);
+    assert_eq!(again("read", &cut, 1000), [0u8; 0]);
+    assert_eq!(again("book", &cut, 1000), [0u8; 0]);
+    assert_eq!(again("book", &cut, 1_200_000), [2]);
+    // A refusal says that a repeat is harmless.
+    let mut refused = Record::start();
+    refused.infer(1, 1, "post", "a", 1);
+    refused.infer(2, 1, "post", "a", 1);
+    cut(&mut refused);
+    refused.status(1, 1, REFUSED);
+    assert_eq!(refused.broken(), [2]);
+}
+
+#[test]
+fn two_attempts_open_at_once() {
+    let mut r = Record::start();
+    r.infer(1, 1, "read", "a", 1);
+    r.infer(2, 1, "read", "a", 1);
+    r.at = 20_000;
+    r.infer(3, 1, "read", "a", 1);
+    r.at = 40_000;
+    r.status(2, 1, OK);
+    r.status(3, 1, OK);
+    r.status(1, 1, OK);
+    assert_eq!(r.broken(), [0]);
+}
+
+#[test]
+fn rule_3_nothing_new_after_the_grace() {
+    for (at, broken) in [(590_000, vec![]), (620_000, vec![3, 3])] {
+        let mut r = Record::start();
+        r.infer(1, 1, "read", "a", 1);
+        r.write(0, What::Mark(Mark::Leaves { front: 0, worker: 0 }));
+        r.at = at;
+        r.infer(2, 1, "read", "a", 1);
+        r.load(2, 3);
+        r.status(1, 1, OK);
+        assert_eq!(r.broken(), broken, "at {at}");
+    }
+}
+
+#[test]
+fn rule_4_a_cold_worker_by_all_front_ends_together() {
+    // At 1.2 s it has 0.25 + 0.75 x 0.3 of one core: 0.475 s of work a second, 0.95 s at twice that.
+    for (each, broken) in [(440, vec![]), (490, vec![4])] {
+        let mut r = Record::start();
+        r.open(4, Link::Client { front: 1 });
+        r.open(5, Link::Worker { front: 1, worker: 0 });
+        r.write(0, What::Mark(Mark::Started { worker: 0 }));
+        r.at = 1_200_000;
+        for (client, worker, id) in [(1, 2, "a"), (4, 5, "b")] {
+            r.infer(client, 1, "read", id, each);
+            r.infer(worker, 1, "read", id, each);
+            r.status(worker, 1, OK);
+            r.status(client, 1, OK);
+        }
+        assert_eq!(r.broken(), broken, "{each} ms from each");
+    }
+}
+
+#[test]
+fn rule_5_orders_to_load_against_calls_taken() {
+    for (orders, broken) in [(2, vec![]), (3, vec![5])] {
+        let mut r = Record::start();
+        for n in 0..2 {
+            r.infer(1, 1 + 2 * n, "read", &format!("call-{n}"), 1);
+            r.status(1, 1 + 2 * n, OK);
+        }
+        (0..orders).for_each(|n| r.load(2, 1 + 2 * n));
+        assert_eq!(r.broken(), broken, "{orders} orders for 2 calls, 1 free");
+    }
+}
