Refusals say how long to stay away; every setting of the module can be said

Cause: the module gives no advice in refusals, and a pushback of 0 asks clients to come back at once. Change: the ledger then says the class's aim, at most front.max_stay_away; a front end that closes says 0, since a sibling may take the call. max_stay_away, answer_slack, tick, list_pushed and ask_within are settings now; two attempts at once are not to be had. Tests of a full and of a closing front end, and of a connection that takes nothing.

--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -520,7 +520,9 @@
                 self.open_attempt(CallId(request.0), worker, give_up, out)
             }
             Action::Refuse { request, stay_away } => {
-                self.answer(CallId(request.0), Answer::Refused { stay_away }, out)
+                let id = CallId(request.0);
+                let stay_away = self.advice(id, stay_away);
+                self.answer(id, Answer::Refused { stay_away }, out)
             }
             Action::Fail { request } => {
                 let id = CallId(request.0);
@@ -546,6 +548,14 @@
         }
     }
 
+    /// How long a refused client should stay away. Where the module gives no advice it is the class's aim, as far as
+    /// clients heed any: no worker could take the call within it, so none will before what waits now has passed.
+    fn advice(&self, id: CallId, given: Span) -> Span {
+        let settings = &self.config.settings;
+        let aim = self.calls.get(&id).map_or(0, |c| settings.classes[c.class].aim);
+        if given > 0 { given } else { aim }.min(settings.max_stay_away)
+    }
+
     fn why(&self, call: &OpenCall) -> Why {
         match call.last_end {
             _ if self.now >= call.deadline => Why::Deadline,
@@ -642,10 +652,13 @@
             return;
         };
         self.account.taken += 1;
+        // Nothing was sent for it: a refusal is right for every class. Another front end may take it at once while
+        // this one closes; one that is full is full for a while.
         if self.closing || self.calls.len() >= self.config.settings.max_held {
-            // Nothing was sent for it: a refusal is right for every class.
+            let full = self.config.settings.classes[spec.class].aim.min(self.config.settings.max_stay_away);
+            let stay_away = if self.closing { 0 } else { full };
             self.account.refused += 1;
-            out.push(Command::Answer { call: id, answer: Answer::Refused { stay_away: 0 } });
+            out.push(Command::Answer { call: id, answer: Answer::Refused { stay_away } });
             return;
         }
         let class = call.class.filter(|c| *c < self.config.settings.classes.len()).unwrap_or(spec.class);
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -262,3 +262,83 @@
     }
     assert_eq!(lines(&beside), recorded);
 }
+
+fn call(n: u64, function: &str, budget: i64) -> Input {
+    Input::Call(Call {
+        call: CallId(n),
+        function: function.into(),
+        class: None,
+        tenant: 0,
+        budget: Some(budget),
+        hint: None,
+        repeat: false,
+    })
+}
+
+fn answers(commands: &[Command]) -> Vec<(u64, Answer)> {
+    let one = |c: &Command| match c {
+        Command::Answer { call, answer } => Some((call.0, *answer)),
+        _ => None,
+    };
+    commands.iter().filter_map(one).collect()
+}
+
+#[test]
+fn refusals_say_how_long_to_stay_away() {
+    let mut config = config(1);
+    config.settings.max_held = 2;
+    config.settings.max_stay_away = SECOND / 4;
+    let mut front = Front::new(config, Time(0)).expect("settings that make sense");
+    let mut out = Vec::new();
+    // No worker is known: one call has no time, two are held, the next is one too many, then the front end closes.
+    front.step(Time(0), call(1, "unsafe", 0), &mut out);
+    front.step(Time(1), call(2, "unsafe", SECOND), &mut out);
+    front.step(Time(2), call(3, "unsafe", SECOND), &mut out);
+    front.step(Time(3), call(4, "unsafe", SECOND), &mut out);
+    front.step(Time(4), Input::Close { within: SECOND / 10 }, &mut out);
+    front.step(Time(5), call(5, "unsafe", SECOND), &mut out);
+    let quarter = Answer::Refused { stay_away: SECOND / 4 };
+    assert_eq!(answers(&out), [(1, quarter), (4, quarter), (5, Answer::Refused { stay_away: 0 })]);
+    out.clear();
+    front.step(Time(SECOND / 5), Input::Tick, &mut out);
+    let failed = Answer::Failed(tansy_front::Why::Closing);
+    assert_eq!(
+        answers(&out),
+        [(2, failed), (3, failed)],
+        "what is held fails when the time to close is over"
+    );
+    assert!(front.idle());
+}
+
+#[test]
+fn a_connection_that_takes_nothing_is_dropped_and_the_call_goes_elsewhere() {
+    let mut front = Front::new(config(1), Time(0)).expect("settings that make sense");
+    let mut out = Vec::new();
+    let connect = front.config().settings.connect_timeout;
+    let list = vec![listed(0, 0)];
+    front.step(Time(0), Input::Workers { whole: true, list }, &mut out);
+    front.step(Time(0), call(1, "unsafe", 2 * SECOND), &mut out);
+    let order = out.iter().find_map(|c| match c {
+        Command::Load { order, .. } => Some(*order),
+        _ => None,
+    });
+    let told = Told { instances: Some(1), ..Told::default() };
+    let seen = Seen::Status { code: 0, stage: Stage::Headers };
+    out.clear();
+    front.step(Time(1000), Input::OrderEnded { order: order.expect("a load first"), seen, told }, &mut out);
+    assert!(out.iter().any(|c| matches!(c, Command::Open { attempt: 0, .. })), "{out:?}");
+    let mut at = |t: i64, want: &str| {
+        let mut out = Vec::new();
+        front.step(Time(t), Input::Tick, &mut out);
+        assert!(out.iter().any(|c| format!("{c:?}").starts_with(want)), "{want} at {t}: {out:?}");
+    };
+    at(1000 + connect + 500, "Confirm");
+    at(1000 + 2 * connect + 1000, "Drop");
+    // Nothing of it can leave any more, and nothing had left: it is sent again though it must not run twice.
+    let (call, attempt) = (CallId(1), 0);
+    out.clear();
+    let now = Time(1000 + 2 * connect + 2000);
+    front.step(now, Input::Ended { call, attempt, seen: Seen::NeverLeft, told: Told::default() }, &mut out);
+    assert!(answers(&out).is_empty(), "{out:?}");
+    assert_eq!(front.account().drops, 1);
+}
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -321,10 +321,15 @@
         tenants: tenants.iter().map(tenant).collect::<Option<_>>()?,
         over_quota_worth: all.number("over_quota_worth")?,
         worth_by_work: all.flag("worth_by_work")?,
-        list_pushed: true,
+        list_pushed: front.flag("list_pushed")?,
+        ask_within: front.int("ask_within")?,
+        max_stay_away: front.int("max_stay_away")?,
+        answer_slack: front.int("answer_slack")?,
+        tick: front.int("tick")?,
         may_cancel: worker.flag("may_cancel")?,
         may_probe: worker.flag("may_probe")?,
         may_order: worker.flag("may_order")?,
+        // Never: no call has two attempts open at once.
         may_double: false,
         max_attempts: u32::try_from(worker.int("max_attempts")?).ok()?,
         max_held: usize::try_from(front.int("max_held")?).ok()?,
@@ -356,7 +361,6 @@
         fall_multiple: worker.number("fall_multiple")?,
         fall_after: worker.int("fall_after")?,
         drain_grace: worker.int("drain_grace")?,
-        ..module::Settings::default()
     };
     let gateway = Gateway {
         listen: listen?,
--- a/settings/src/schema.cue
+++ b/settings/src/schema.cue
@@ -58,6 +58,11 @@
     headers:        size & >=1KiB & <=1MiB | *16KiB
     stream_window:  size & >=16KiB & <=16MiB | *64KiB
     preface:        duration & >0s | *5s       // time to send a connection's preface
+    max_stay_away:  duration & >=0s | *10s     // the longest advice to stay away that clients heed
+    answer_slack:   duration & >=0s | *10ms    // a final answer so long after its client's time still counts
+    tick:           duration & >0s | *1ms      // least time between two batches of events
+    list_pushed:    bool | *true               // the list of workers comes unasked
+    ask_within:     duration & >0s | *10s      // where it must be asked for: how often
     class_key:      string | *"tansy-class"    // metadata key or request parameter
     tenant_key:     string | *"tansy-tenant"
     work_key:       string | *"tansy-work-ms"
