A stream may last longer than a connection may take

Cause: a first piece marked an attempt as open but left its connect time-out running, which then withdrew it: streams that lasted over 250 ms failed. Change: each time-out of an attempt says what it waits for, and does nothing once that has come. Test: a stream of 900 ms through the programs, and one in the ledger alone.

--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -343,11 +343,22 @@
     timer: Option<Handle>,
 }
 
+/// What an attempt's time-out waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Until {
+    /// Its HEADERS leave.
+    Left,
+    /// It ends: the module gives it up, or its trailers lag.
+    Ended,
+    /// Its reset leaves.
+    Closed,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Due {
     Module(u64),
     Deadline(CallId),
-    Attempt(CallId, u32),
+    Attempt(CallId, u32, Until),
     Order(OrderId),
     Close,
 }
@@ -712,11 +723,12 @@
             return;
         };
         let budget = c.deadline.since(self.now);
-        let timer = Some(self.timers.set(self.now.plus(connect).0, Due::Attempt(id, number)));
+        let due = Due::Attempt(id, number, Until::Left);
+        let timer = Some(self.timers.set(self.now.plus(connect).0, due));
         c.attempt =
             Some(Attempt { number, worker, sent: self.now, phase: Phase::Opening, began: false, timer });
         if let Some(at) = give_up {
-            self.timers.set(at.0, Due::Attempt(id, number));
+            self.timers.set(at.0, Due::Attempt(id, number, Until::Ended));
         }
         self.account.attempts += 1;
         out.push(Command::Open { call: id, attempt: number, worker: name, budget });
@@ -823,7 +835,10 @@
         if answer == Answer::Served {
             // Its trailers may lag, but not for ever.
             if let Some(a) = c.attempt.as_mut() {
-                let due = Due::Attempt(id, a.number);
+                let due = Due::Attempt(id, a.number, Until::Ended);
+                if let Some(timer) = a.timer.take() {
+                    self.timers.clear(timer);
+                }
                 a.timer = Some(self.timers.set(self.now.plus(TRAILERS_WITHIN).0, due));
             }
         } else {
@@ -839,7 +854,7 @@
             self.timers.clear(timer);
         }
         let at = self.now.plus(self.config.settings.connect_timeout);
-        a.timer = Some(self.timers.set(at.0, Due::Attempt(id, a.number)));
+        a.timer = Some(self.timers.set(at.0, Due::Attempt(id, a.number, Until::Left)));
         out.push(Command::Confirm { call: id, attempt: a.number });
     }
 
@@ -854,7 +869,7 @@
         }
         // What can't leave in time for a connection won't leave at all.
         let at = self.now.plus(self.config.settings.connect_timeout);
-        a.timer = Some(self.timers.set(at.0, Due::Attempt(id, a.number)));
+        a.timer = Some(self.timers.set(at.0, Due::Attempt(id, a.number, Until::Closed)));
         out.push(Command::Withdraw { call: id, attempt: a.number });
     }
 
@@ -959,7 +974,7 @@
             match d {
                 Due::Module(token) => self.tell(Event::Timer { token }, out),
                 Due::Deadline(id) => self.on_deadline(id, out),
-                Due::Attempt(id, number) => self.on_attempt_due(id, number, out),
+                Due::Attempt(id, number, until) => self.on_attempt_due(id, number, until, out),
                 Due::Order(id) => self.on_order_due(id, out),
                 Due::Close => {
                     let mut open: Vec<CallId> =
@@ -991,22 +1006,27 @@
         }
     }
 
-    fn on_attempt_due(&mut self, id: CallId, number: u32, out: &mut Vec<Command>) {
+    fn on_attempt_due(&mut self, id: CallId, number: u32, until: Until, out: &mut Vec<Command>) {
         let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
         if a.number != number {
             return;
         }
-        match a.phase {
+        match (until, a.phase) {
             // Most have left long ago, and asking for each at once would cost more than the answer is worth.
-            Phase::Opening => self.confirm(id, out),
-            Phase::Open => self.withdraw(id, Outcome::TimedOut, out),
+            (Until::Left, Phase::Opening) => self.confirm(id, out),
+            (Until::Ended, Phase::Opening | Phase::Confirming | Phase::Open) => {
+                self.withdraw(id, Outcome::TimedOut, out)
+            }
             // A connection that takes nothing, not even a reset, is dropped, which ends all that is on it.
-            Phase::Confirming | Phase::Closing(_) => {
+            (Until::Left, Phase::Confirming) | (Until::Closed, Phase::Closing(_)) => {
                 a.timer = None;
                 let worker = a.worker;
                 self.account.drops += 1;
                 out.extend(self.name(worker).map(|worker| Command::Drop { worker }));
             }
+            (Until::Left, Phase::Open | Phase::Closing(_)) => {}
+            (Until::Ended, Phase::Closing(_)) => {}
+            (Until::Closed, Phase::Opening | Phase::Confirming | Phase::Open) => {}
         }
     }
 
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -342,3 +342,30 @@
     assert!(answers(&out).is_empty(), "{out:?}");
     assert_eq!(front.account().drops, 1);
 }
+
+#[test]
+fn a_stream_may_last_longer_than_a_connection_may_take() {
+    let mut front = Front::new(config(1), Time(0)).expect("settings that make sense");
+    let mut out = Vec::new();
+    let connect = front.config().settings.connect_timeout;
+    front.step(Time(0), Input::Workers { whole: true, list: vec![listed(0, 0)] }, &mut out);
+    front.step(Time(0), call(1, "stream", 2 * SECOND), &mut out);
+    let order = out.iter().find_map(|c| match c {
+        Command::Load { order, .. } => Some(*order),
+        _ => None,
+    });
+    let told = Told { instances: Some(1), ..Told::default() };
+    let seen = Seen::Status { code: 0, stage: Stage::Headers };
+    front.step(Time(1000), Input::OrderEnded { order: order.expect("a load first"), seen, told }, &mut out);
+    let piece = |last| Input::Piece { call: CallId(1), attempt: 0, last };
+    front.step(Time(2000), piece(false), &mut out);
+    out.clear();
+    for t in 1..20 {
+        front.step(Time(t * connect / 4), Input::Tick, &mut out);
+    }
+    let withdrawn =
+        |c: &Command| matches!(c, Command::Withdraw { .. } | Command::Answer { .. } | Command::Drop { .. });
+    assert!(!out.iter().any(withdrawn), "{out:?}");
+    front.step(Time(5 * connect), piece(true), &mut out);
+    assert_eq!(answers(&out), [(1, Answer::Served)]);
+}
--- a/tests/path/tests/served.rs
+++ b/tests/path/tests/served.rs
@@ -62,7 +62,7 @@
             .parameters
             .insert("triton_enable_empty_final_response".into(), tansy_path_tests::parameter(flag));
         let calls = vec![
-            request("echo", "slow", &[("pieces", 4), ("work_ms", 200)]),
+            request("echo", "slow", &[("pieces", 4), ("work_ms", 900)]),
             request("echo", "fast", &[("pieces", 3)]),
             request("nothing", "unknown", &[]),
             empty,
