--- a/programs/day/src/day.cue
+++ b/programs/day/src/day.cue
@@ -26,9 +26,9 @@
     connect_timeout: 200ms
     idle_life:       4s
     order_timeout:   3s
-    cold_from:       0.25
-    warm_up:         6s
-    fall_multiple:   2.5
+    cold_from:       0.1
+    warm_up:         10s
+    fall_multiple:   1.5
     fall_after:      1s
     drain_grace:     500ms
     ration:          {free: 10, part: 0.002, period: 5s}
