--- a/src/rules.rs
+++ b/src/rules.rs
@@ -854,8 +854,8 @@
             let evidence = w.out.iter().filter_map(|(sent, id)| {
                 let r = self.requests.get(id)?;
                 let age = now.since((*sent).max(w.heard)) as f64;
-                // EXCEPTION: silence shorter than our own looks is none: with many fast calls out, answers wait
-                // unread that long. Harm: a worker silent for calls of microseconds is found a look later.
+                // EXCEPTION: silence shorter than our own looks is none: with many fast calls out, answers
+                // wait unread that long. Harm: a worker silent for very short calls is found a look later.
                 let own = age <= SWEEP as f64;
                 (!own).then(|| age / unit.max(self.expected(r).0) / r.attempts.len().max(1) as f64)
             });
