--- a/net/front/src/attempts.rs
+++ b/net/front/src/attempts.rs
@@ -1,6 +1,7 @@
 //! What goes to workers: attempts, probes and orders, each from its command to its one end.
 
-use crate::hub::{piece, response, told, CallIo, Flag, Hub};
+use crate::hub::{piece, response, CallIo, Flag, Hub};
+use crate::trailers::told;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Version};
 use prost::Message;
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -1,8 +1,8 @@
 //! Gives inputs to the ledger and carries out its commands.
 
+use crate::answers;
 use crate::attempts;
 use crate::sink::Sink;
-use crate::{answers, trailers};
 use bytes::Bytes;
 use http::HeaderMap;
 use std::cell::{Cell, RefCell};
@@ -416,8 +416,3 @@
     let id = scan::response_id(message).map_err(|e| format!("an answer that is no message: {e}"))?;
     Ok(if id == io.request_id { frame(message) } else { frame(&amend::response(message, &io.request_id)) })
 }
-
-/// What trailers tell.
-pub fn told(map: &HeaderMap) -> Told {
-    trailers::told(map)
-}
--- a/net/grpc/src/link.rs
+++ b/net/grpc/src/link.rs
@@ -58,7 +58,6 @@
     Connecting {
         waiting: Vec<Waker>,
         attempt: u64,
-        aborted: bool,
     },
     Up(Connection),
     /// The last try's end, for those that waited for it.
@@ -91,14 +90,6 @@
         Connected { link: self.clone(), attempt }
     }
 
-    /// The connection if it stands.
-    pub fn standing(&self) -> Option<Connection> {
-        match &*self.state.borrow() {
-            State::Up(c) if usable(c) => Some(c.clone()),
-            _ => None,
-        }
-    }
-
     /// Ends the connection at once: nothing more leaves on it; a try to connect is given up.
     pub fn drop_now(&self) {
         let mut state = self.state.borrow_mut();
@@ -107,8 +98,7 @@
                 c.wire.borrow_mut().abort();
                 *state = State::Idle;
             }
-            State::Connecting { waiting, attempt, aborted } => {
-                *aborted = true;
+            State::Connecting { waiting, attempt } => {
                 let (waiting, attempt) = (std::mem::take(waiting), *attempt);
                 *state = State::Failed(NoConnection::GivenUp, attempt);
                 waiting.into_iter().for_each(Waker::wake);
@@ -137,7 +127,7 @@
             *tries += 1;
             *tries
         };
-        *state = State::Connecting { waiting: Vec::new(), attempt, aborted: false };
+        *state = State::Connecting { waiting: Vec::new(), attempt };
         let link = self.clone();
         self.spawner.spawn(async move {
             let made = link.connect().await;
--- a/programs/day/src/load.rs
+++ b/programs/day/src/load.rs
@@ -54,6 +54,14 @@
     pub first: Histogram<u64>,
 }
 
+impl Seen {
+    fn nothing() -> Result<Seen, hdrhistogram::CreationError> {
+        let histogram = || Histogram::new_with_bounds(1, 60_000_000, 3);
+        let (latency, first) = (histogram()?, histogram()?);
+        Ok(Seen { begun: 0, served: 0, refused: 0, failed: 0, cancelled: 0, lost: 0, latency, first })
+    }
+}
+
 /// Connections of each front end.
 const CONNECTIONS: usize = 4;
 const CALL: &str = "http://day/inference.GRPCInferenceService/ModelInfer";
@@ -79,17 +87,7 @@
     let spawner = Spawner::new(event_loop.handle())?;
     let link = |n: usize| Link::new(spawner.clone(), plan.fronts[n / CONNECTIONS], Limits::default());
     let links: Vec<Rc<Link>> = (0..plan.fronts.len() * CONNECTIONS).map(link).collect();
-    let histogram = || Histogram::new_with_bounds(1, 60_000_000, 3);
-    let seen = Seen {
-        begun: 0,
-        served: 0,
-        refused: 0,
-        failed: 0,
-        cancelled: 0,
-        lost: 0,
-        latency: histogram()?,
-        first: histogram()?,
-    };
+    let seen = Seen::nothing()?;
     let counts = Rc::new(Counts { open: Cell::new(0), seen: RefCell::new(seen) });
     let mut rng = fastrand::Rng::with_seed(plan.seed);
     let (start, total) = (Instant::now(), (plan.rate as f64 * plan.seconds) as u64);
@@ -117,16 +115,7 @@
     }
     let left = counts.open.get();
     drop(event_loop);
-    let mut seen = counts.seen.replace(Seen {
-        begun: 0,
-        served: 0,
-        refused: 0,
-        failed: 0,
-        cancelled: 0,
-        lost: 0,
-        latency: histogram()?,
-        first: histogram()?,
-    });
+    let mut seen = counts.seen.replace(Seen::nothing()?);
     seen.begun = sent;
     seen.lost += left;
     Ok(seen)
--- a/tests/path/src/lib.rs
+++ b/tests/path/src/lib.rs
@@ -211,6 +211,14 @@
     }
 }
 
+/// So many workers, at most three, and a gateway that knows them, with [`SETTINGS`].
+pub fn start(workers: usize) -> (Gate, Workers) {
+    let w = Workers::start(workers);
+    let names = ["w0", "w1", "w2"];
+    let list: Vec<_> = w.addresses.iter().enumerate().map(|(n, a)| (names[n], *a)).collect();
+    (Gate::start(SETTINGS, &list), w)
+}
+
 fn profile(n: usize) -> Profile {
     let function =
         |name: &str| Function { name: name.into(), memory_mb: 100.0, lanes: 64, load: 5_000, work: 1_000 };
--- a/tests/path/tests/failures.rs
+++ b/tests/path/tests/failures.rs
@@ -3,7 +3,7 @@
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 use tansy_path_tests::peer::{self, Wire};
-use tansy_path_tests::{id, last, request, run, until, Gate, Workers, SETTINGS};
+use tansy_path_tests::{id, last, request, run, start, until, Gate, SETTINGS};
 use tokio_stream::StreamExt;
 use tonic::Code;
 
@@ -12,13 +12,6 @@
     format!("{SETTINGS}\nworker: {{may_order: false, may_probe: false}}\n")
 }
 
-fn start(workers: usize) -> (Gate, Workers) {
-    let w = Workers::start(workers);
-    let names = ["w0", "w1", "w2"];
-    let list: Vec<_> = w.addresses.iter().enumerate().map(|(n, a)| (names[n], *a)).collect();
-    (Gate::start(SETTINGS, &list), w)
-}
-
 #[test]
 fn a_worker_silent_halfway_through_a_stream_ends_the_call_and_the_stream_lives_on() {
     let (gate, workers) = start(1);
--- a/tests/path/tests/served.rs
+++ b/tests/path/tests/served.rs
@@ -1,16 +1,9 @@
 //! What is served, and how it is said.
 
-use tansy_path_tests::{id, last, pb, request, run, Gate, Workers, SETTINGS};
+use tansy_path_tests::{id, last, pb, request, run, start};
 use tokio_stream::StreamExt;
 use tonic::Code;
 
-fn start(workers: usize) -> (Gate, Workers) {
-    let w = Workers::start(workers);
-    let names = ["w0", "w1", "w2"];
-    let list: Vec<_> = w.addresses.iter().enumerate().map(|(n, a)| (names[n], *a)).collect();
-    (Gate::start(SETTINGS, &list), w)
-}
-
 #[test]
 fn a_unary_call_comes_back_with_its_tensors_and_its_id() {
     let (gate, _workers) = start(2);
