One timer source a loop: all time-outs wait in a wheel, drivers' wakers by connection

Each call of the stand-in worker, each connection and each slow message had a timer source of its own, and the loop library searches its lists of sources and timers when one is added or taken out. So cost grew with what was live, which clients choose. `Spawner::sleep` now sets an entry of `tansy-wheel` behind one timer of the library. The server kept its drivers' wakers in a list that every poll of a connection went through; they are held by connection now.

--- a/decide/wheel/src/lib.rs
+++ b/decide/wheel/src/lib.rs
@@ -92,6 +92,12 @@
         Handle { index, stamp }
     }
 
+    /// What was set, unless it has come out or was cleared.
+    pub fn get_mut(&mut self, handle: Handle) -> Option<&mut T> {
+        let e = self.entries.get_mut(handle.index as usize)?;
+        e.value.as_mut().filter(|_| e.stamp == handle.stamp)
+    }
+
     /// Clears a timer; gives its value if it had not come out yet.
     pub fn clear(&mut self, handle: Handle) -> Option<T> {
         let e = self.entries.get(handle.index as usize)?;
--- a/net/grpc/src/lib.rs
+++ b/net/grpc/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod server;
 pub mod side;
 pub mod socket;
+pub mod timers;
 
+use crate::timers::{Sleep, Timers};
 use calloop::futures::Scheduler;
-use calloop::timer::TimeoutFuture;
 use calloop::LoopHandle;
 use std::future::Future;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -20,6 +22,7 @@
 pub struct Spawner {
     handle: LoopHandle<'static, ()>,
     scheduler: Scheduler<()>,
+    timers: Rc<Timers>,
 }
 
 impl Spawner {
@@ -28,7 +31,8 @@
         let (executor, scheduler) = calloop::futures::executor::<()>().map_err(std::io::Error::other)?;
         let inserted = handle.insert_source(executor, |(), _, _| {});
         inserted.map_err(|e| std::io::Error::other(e.to_string()))?;
-        Ok(Spawner { handle, scheduler })
+        let timers = Timers::new(handle.clone())?;
+        Ok(Spawner { handle, scheduler, timers })
     }
     /// Runs a task on the loop until it ends.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
@@ -36,8 +40,12 @@
         let _ = self.scheduler.schedule(task);
     }
     /// Ends after so long.
-    pub fn sleep(&self, span: Duration) -> TimeoutFuture {
-        TimeoutFuture::from_duration(&self.handle, span)
+    pub fn sleep(&self, span: Duration) -> Sleep {
+        self.timers.sleep(span)
+    }
+    /// Its time-outs.
+    pub fn timers(&self) -> &Rc<Timers> {
+        &self.timers
     }
     /// The loop.
     pub fn handle(&self) -> &LoopHandle<'static, ()> {
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use socket2::{Domain, Protocol, Type};
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -64,7 +65,9 @@
     closing: Cell<bool>,
     cuts: Cell<u64>,
     sheds: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    /// Of the connections' drivers, by connection: each is found without a look at the others.
+    wakers: RefCell<HashMap<u64, Waker>>,
+    next: Cell<u64>,
     resume: RefCell<Option<calloop::ping::Ping>>,
 }
 
@@ -99,7 +102,8 @@
             closing: Cell::new(false),
             cuts: Cell::new(0),
             sheds: Cell::new(0),
-            wakers: RefCell::new(Vec::new()),
+            wakers: RefCell::new(HashMap::new()),
+            next: Cell::new(0),
             resume: RefCell::new(None),
         });
         // A listener that is full is not read until a connection ends; the ping wakes it.
@@ -127,22 +131,26 @@
         Ok(server)
     }
 
+    fn wake_all(&self) {
+        std::mem::take(&mut *self.wakers.borrow_mut()).into_values().for_each(Waker::wake);
+    }
+
     /// Takes no new connection, and tells clients to open no new stream; those open go on.
     pub fn close(&self) {
         self.closing.set(true);
-        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+        self.wake_all();
     }
 
     /// Ends every connection that stands at once, with all that is open on it.
     pub fn cut(&self) {
         self.cuts.set(self.cuts.get() + 1);
-        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+        self.wake_all();
     }
 
     /// Tells the clients of the connections that stand to open no new stream there; new connections are taken.
     pub fn shed(&self) {
         self.sheds.set(self.sheds.get() + 1);
-        std::mem::take(&mut *self.wakers.borrow_mut()).into_iter().for_each(Waker::wake);
+        self.wake_all();
     }
 
     /// Connections that stand.
@@ -174,7 +182,9 @@
         self.connections.set(self.connections.get() + 1);
         let server = self.clone();
         self.spawner.spawn(async move {
-            server.serve(io, &flusher).await;
+            let number = server.next.replace(server.next.get() + 1);
+            server.serve(number, io, &flusher).await;
+            server.wakers.borrow_mut().remove(&number);
             // The last frames, if the other side takes them.
             let last = std::future::poll_fn(|cx| flusher.poll_flush(cx));
             within(server.spawner.sleep(LAST_FRAMES), last).await;
@@ -186,7 +196,7 @@
         Ok(())
     }
 
-    async fn serve(&self, io: Io, flusher: &Flusher) {
+    async fn serve(&self, number: u64, io: Io, flusher: &Flusher) {
         let limits = &self.limits;
         let handshake = h2::server::Builder::new()
             .initial_window_size(limits.stream_window)
@@ -232,8 +242,10 @@
                 }
                 if next.is_pending() {
                     let mut wakers = self.wakers.borrow_mut();
-                    wakers.retain(|w| !w.will_wake(cx.waker()));
-                    wakers.push(cx.waker().clone());
+                    let known = wakers.get(&number).is_some_and(|w| w.will_wake(cx.waker()));
+                    if !known {
+                        wakers.insert(number, cx.waker().clone());
+                    }
                 }
                 next
             });
