Load orders that leave nothing wait longer each time, and one by one over all workers

A worker that answered every method at once with OK and the request's bytes drew thousands of load orders a second: an order "done" without an instance left its place as it was, and the next followed in the same breath. The module now counts orders in vain by place (from the second in a row barred 0.5 to 12 s, doubling, seeded jitter) and paces them (50 ms) over workers where that was the last word, over all while it was the last word of any. Calls' arrivals are kept only for a ration: without orders they were never let go.

--- a/decide/front/src/account.rs
+++ b/decide/front/src/account.rs
@@ -26,6 +26,8 @@
     pub pieces: u64,
     /// Orders to load, asks not included.
     pub loads: u64,
+    /// Orders that left no instance, and asks that were not answered.
+    pub vain: u64,
     /// Orders that only asked.
     pub asks: u64,
     /// Orders to unload.
@@ -64,7 +66,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             f,
-            "taken={} served={} refused={} failed={} departed={} unknown={} attempts={} pieces={} loads={} asks={} \
+            "taken={} served={} refused={} failed={} departed={} unknown={} attempts={} pieces={} loads={} vain={} asks={} \
              unloads={} probes={} drops={} guarded={}",
             self.taken,
             self.served,
@@ -75,6 +77,7 @@
             self.attempts,
             self.pieces,
             self.loads,
+            self.vain,
             self.asks,
             self.unloads,
             self.probes,
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -6,6 +6,7 @@
 
 use crate::account::{place, Account};
 use crate::ids::{Collision, Names};
+use crate::lacking::{Lack, Lacking};
 use crate::outcome::{verdict, Report, Seen, Told};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -288,6 +289,17 @@
         /// The worker.
         worker: String,
     },
+    /// Tell the operator: a worker's orders leave nothing.
+    Tell {
+        /// The worker.
+        worker: String,
+        /// The function of the last one.
+        function: String,
+        /// How that one ended.
+        seen: Seen,
+        /// Orders in vain since the last one that left an instance.
+        count: u64,
+    },
     /// Fetch the whole list once.
     FetchList,
     /// Have changes of the list sent from here on.
@@ -382,6 +394,7 @@
     calls: HashMap<CallId, OpenCall>,
     order_list: BTreeMap<OrderId, Order>,
     believed: BTreeMap<FunctionId, Believed>,
+    lacking: Lacking,
     next_order: u64,
     timers: Wheel<Due>,
     account: Account,
@@ -435,6 +448,7 @@
             calls: HashMap::new(),
             order_list: BTreeMap::new(),
             believed: BTreeMap::new(),
+            lacking: Lacking::default(),
             next_order: 0,
             timers: Wheel::new(now.0, TICK),
             account: Account::default(),
@@ -630,6 +644,7 @@
                 out.extend(self.name(worker).map(|worker| Command::Retire { worker }));
             }
             self.states.remove(&worker);
+            self.lacking.forget(worker);
             self.started.remove(&worker);
         }
         if state != WorkerState::Ready {
@@ -959,12 +974,34 @@
                     b.warm_at = Some(self.now);
                 }
                 let (worker, function) = (o.worker, o.function);
+                if instances > 0 {
+                    self.lacking.clear(worker);
+                } else if o.instances > 0 || outcome != Outcome::Served {
+                    self.in_vain(worker, function, seen, out);
+                }
                 self.tell(Event::OrderDone { worker, function, outcome, latency, instances }, out);
             }
             OrderKind::Unload => {}
         }
     }
 
+    fn in_vain(&mut self, worker: WorkerId, function: FunctionId, seen: Seen, out: &mut Vec<Command>) {
+        self.account.vain += 1;
+        let told = self.lacking.vain(self.now, worker, function, seen);
+        if let (Some(lack), Some((worker, function))) = (told, self.names_of(worker, function)) {
+            out.push(Command::Tell { worker, function, seen, count: lack.count });
+        }
+    }
+
+    fn names_of(&self, worker: WorkerId, function: FunctionId) -> Option<(String, String)> {
+        self.name(worker).zip(self.functions.name(function.0).map(str::to_string))
+    }
+
+    /// Workers whose last order was in vain: their names, the function's, and what came of it.
+    pub fn lacking(&self) -> impl Iterator<Item = (String, String, &Lack)> {
+        self.lacking.iter().filter_map(|(w, l)| self.names_of(w, l.function).map(|(w, f)| (w, f, l)))
+    }
+
     // ---- Time ----
 
     fn expire(&mut self, out: &mut Vec<Command>) {
--- a/decide/front/src/lib.rs
+++ b/decide/front/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod account;
 pub mod ids;
+pub mod lacking;
 pub mod ledger;
 pub mod outcome;
 pub mod record;
--- a/decide/front/src/outcome.rs
+++ b/decide/front/src/outcome.rs
@@ -85,6 +85,47 @@
     Withdrawn,
 }
 
+/// Names of gRPC's status codes, by number.
+const STATUS: [&str; 17] = [
+    "OK",
+    "CANCELLED",
+    "UNKNOWN",
+    "INVALID_ARGUMENT",
+    "DEADLINE_EXCEEDED",
+    "NOT_FOUND",
+    "ALREADY_EXISTS",
+    "PERMISSION_DENIED",
+    "RESOURCE_EXHAUSTED",
+    "FAILED_PRECONDITION",
+    "ABORTED",
+    "OUT_OF_RANGE",
+    "UNIMPLEMENTED",
+    "INTERNAL",
+    "UNAVAILABLE",
+    "DATA_LOSS",
+    "UNAUTHENTICATED",
+];
+
+/// In words, for an operator.
+impl std::fmt::Display for Seen {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Seen::ConnectRefused => f.write_str("connect refused"),
+            Seen::ConnectTimedOut => f.write_str("no connection in time"),
+            Seen::NeverLeft => f.write_str("never left"),
+            Seen::GoawayBelow => f.write_str("GOAWAY"),
+            Seen::Reset { code, .. } => write!(f, "RST_STREAM code {code}"),
+            Seen::Cut { .. } => f.write_str("connection cut"),
+            Seen::Status { code, .. } => {
+                f.write_str(STATUS.get(usize::from(*code)).unwrap_or(&"unknown status"))
+            }
+            Seen::NoTrailers { .. } => f.write_str("no trailers"),
+            Seen::BadAnswer { .. } => f.write_str("no message of the protocol"),
+            Seen::Withdrawn => f.write_str("no answer in time"),
+        }
+    }
+}
+
 /// A worker's promise that a call did not run and will not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NeverRan {
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -343,6 +343,10 @@
                     link.retire();
                 }
             }
+            Command::Tell { worker, function, seen, count } => {
+                tracing::warn!(%worker, %function, status = %seen, count,
+                    "a load order left no instance (an OK has to tell tansy-instances); orders there become rare");
+            }
             // The list comes unasked here; asked for, it comes again as it stands.
             Command::FetchList | Command::Subscribe => {
                 let list = self.state.borrow().list.iter().map(|w| w.listed.clone()).collect();
--- a/net/front/src/side.rs
+++ b/net/front/src/side.rs
@@ -21,7 +21,16 @@
         },
         "/account" => {
             let (account, open) = hub.account();
-            ("200 OK", format!("{account} open={open}\n"))
+            let mut text = format!("{account} open={open}\n");
+            hub.with_front(|f| {
+                for (worker, function, lack) in f.lacking() {
+                    let (seen, count) = (lack.seen, lack.count);
+                    text += &format!(
+                        "lacking worker={worker} function={function} status=\"{seen}\" count={count}\n"
+                    );
+                }
+            });
+            ("200 OK", text)
         }
         _ => ("404 Not Found", "GET /live, /ready or /account\n".into()),
     }
--- a/programs/day/src/script.rs
+++ b/programs/day/src/script.rs
@@ -48,6 +48,8 @@
     (0.82, Step::Fault(1, "clear")),
     (0.84, Step::Fault(2, "slow=8")),
     (0.92, Step::Fault(2, "clear")),
+    (0.93, Step::Fault(4, "hollow")),
+    (0.98, Step::Fault(4, "clear")),
 ];
 
 /// A room comes back cold, all its workers at once.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,10 @@
 const CUT: f64 = 0.8;
 /// Calls in flight a worker is given at first; learned from there.
 const FIRST_LIMIT: f64 = 4.0;
+/// Least time between two orders after one in vain, over all workers that have left nothing since.
+const VAIN_PACE: Span = SECOND / 20;
+/// How often the wait after an order in vain doubles at one place, from half a second.
+const VAIN_DOUBLES: u32 = 4;
 /// Guess of a service time before any answer, as a part of the class's aim.
 const FIRST_SERVICE: f64 = 0.2;
 
@@ -81,6 +85,7 @@
     next_test: Time,
     test_gap: Span,
     trial: bool,
+    vain: bool,
 }
 
 /// What this front end believes of one function at one worker.
@@ -94,6 +99,10 @@
     ordered: Option<Time>,
     asked: Option<Time>,
     barred_until: Time,
+    /// Told by an order that it stands, and no call has been served there since.
+    told: bool,
+    /// Orders in vain in a row.
+    vain: u32,
 }
 
 #[derive(Default)]
@@ -160,6 +169,8 @@
     out: usize,
     window: f64,
     next: Time,
+    next_vain: Time,
+    vain: bool,
     orders: VecDeque<Time>,
 }
 
@@ -282,7 +293,9 @@
             w.left = (e.state != WorkerState::Ready).then(|| w.left.unwrap_or(now));
             w.entry = e;
             if !known {
-                // A restart voids what was believed of the process before it (see `alive`).
+                // A restart voids what was believed of the process before it (see `alive`), good or bad.
+                let places = self.functions.values_mut().filter_map(|f| f.places.get_mut(&id));
+                places.filter(|p| p.vain > 0).for_each(|p| (p.vain, p.barred_until) = (0, now));
                 let (entry, left, in_flight, out) = (w.entry, w.left, w.in_flight, w.out);
                 w = Worker { entry, left, in_flight, out, limit: FIRST_LIMIT, ..Worker::default() };
                 (w.heard, w.credit_at) = (now, now);
@@ -452,7 +465,9 @@
             return;
         }
         let class = a.class.min(self.set.classes.len() - 1);
-        self.arrivals.push_back(now);
+        if self.set.ration.is_some() && self.set.may_order {
+            self.arrivals.push_back(now);
+        }
         let memory = self.memory();
         let f = self.functions.entry(a.function).or_default();
         f.lanes = a.lanes.max(1);
@@ -514,6 +529,7 @@
             } else if heard {
                 w.heard = now;
                 w.suspect &= !ran;
+                w.vain &= d.outcome != Outcome::Served;
             }
             // EXCEPTION: what a worker holds of ours is bounded by what comes back in good time, whatever
             // slows it: siblings' calls, few cores, ageing, a jam. With many siblings that is under one call:
@@ -536,8 +552,11 @@
         if let Some(f) = self.functions.get_mut(&fid) {
             let p = f.places.entry(wid).or_default();
             p.in_flight = p.in_flight.saturating_sub(1);
+            let boast = d.outcome == Outcome::NotLoaded && p.told;
+            p.told &= d.outcome != Outcome::Served && !boast;
             match d.outcome {
                 Outcome::Served => {
+                    p.vain = 0;
                     p.warm = true;
                     p.copies = p.copies.max(1);
                     p.touched = now;
@@ -559,6 +578,9 @@
                 }
                 _ => {}
             }
+            if boast {
+                self.in_vain(now, wid, fid, true);
+            }
         }
         let request = self.requests.get(&d.request);
         let again = request.is_some_and(|r| now < r.deadline && self.repeatable(r, None, now));
@@ -688,8 +710,12 @@
         }
         let direct = !self.set.may_order;
         let mut home: Vec<(f64, WorkerId)> = Vec::new();
-        for wid in self.ready().map(|(id, _)| *id).filter(|id| self.open(*id)) {
+        let paced = now < self.loads.next_vain;
+        for (&wid, w) in self.ready().filter(|(id, _)| self.open(**id)) {
             let out = |p: &Place| self.stuck(wid, p, now) || p.ordered.is_some() && !taken(wid, p);
+            if paced && (w.vain || self.loads.vain) {
+                continue;
+            }
             let may = !direct || self.requests.get(&id).is_some_and(|r| self.may_send(r, wid, now));
             if may && !f.places.get(&wid).is_some_and(out) {
                 home.push((self.claim(fid, wid, false), wid));
@@ -714,6 +740,9 @@
         let window = self.loads.window;
         let spare = (self.loads.out as f64) < window && window >= 1.0
             || self.loads.out == 0 && now >= self.loads.next;
+        if self.loads.vain || self.workers.get(&wid).is_some_and(|w| w.vain) {
+            self.loads.next_vain = now.plus(VAIN_PACE);
+        }
         let Some(f) = self.functions.get_mut(&fid) else { return };
         let p = f.places.entry(wid).or_default();
         if load && allowed && spare {
@@ -734,7 +763,7 @@
         let mean = self.loads.took.mean;
         let untold = if mean > 0.0 { mean } else { SECOND as f64 };
         let usual = f.told_load.map_or(untold, |t| t as f64 * mean.max(1.0));
-        usual.min(self.set.order_timeout as f64) as Span
+        usual.min(self.set.order_timeout as f64).max(SWEEP as f64) as Span
     }
 
     /// Rule 5: orders in the window, this one included, within the free part and the share of arrivals.
@@ -764,6 +793,14 @@
         p.touched = now;
         p.asked = p.asked.filter(|_| n == 0);
         p.barred_until = if o == Outcome::Served { now } else { now.plus(SECOND / 2) };
+        p.told = p.warm;
+        let told_load = f.told_load;
+        if n > 0 {
+            self.workers.entry(wid).and_modify(|w| w.vain = false);
+            self.loads.vain = false;
+        } else if ordered || o != Outcome::Served {
+            self.in_vain(now, wid, fid, false);
+        }
         if !ordered {
             return self.pump(now, fid, out);
         }
@@ -773,13 +810,33 @@
             self.workers.entry(wid).and_modify(|w| Self::suspect(w, now, gap));
         }
         if o == Outcome::Served && took > self.set.connect_timeout {
-            self.loads.took.add(took as f64 / f.told_load.map_or(1.0, |t| t as f64));
-        } else if o == Outcome::Served {
+            self.loads.took.add(took as f64 / told_load.map_or(1.0, |t| t as f64));
+        } else if o == Outcome::Served && n > 0 {
             self.loads.next = now; // It stood already: no load was made.
         }
         self.pump(now, fid, out);
     }
 
+    /// EXCEPTION: an order that left no instance, or one told done whose first call missed, bars its place,
+    /// from the second in a row for twice as long each time. Workers where that was the last word get their
+    /// next orders one by one, and so do all while it was the last word of any. Else one that answers at once
+    /// and wrongly is ordered at the loop's speed. Harm: one mended without a restart is found seconds later.
+    fn in_vain(&mut self, now: Time, wid: WorkerId, fid: FunctionId, missed: bool) {
+        let Some(p) = self.functions.get_mut(&fid).and_then(|f| f.places.get_mut(&wid)) else { return };
+        let before = p.vain;
+        p.vain = before.saturating_add(1);
+        if before > 0 {
+            let gap = (SECOND / 2) << (before - 1).min(VAIN_DOUBLES);
+            let spread = gap as f64 * self.rng.f64() / 2.0;
+            p.barred_until = p.barred_until.max(now.plus(gap + spread as Span));
+        }
+        // One miss after a load may be a release of the function between them.
+        if before > 0 || !missed {
+            (self.loads.next_vain, self.loads.vain) = (now.plus(VAIN_PACE), true);
+            self.workers.entry(wid).and_modify(|w| w.vain = true);
+        }
+    }
+
     // ---- Health ----
 
     fn suspect(w: &mut Worker, now: Time, gap: Span) {
--- a/standins/worker/src/fault.rs
+++ b/standins/worker/src/fault.rs
@@ -25,11 +25,17 @@
     pub no_trailers: Cell<bool>,
     /// Answers with this status and nothing else.
     pub status: Cell<Option<u8>>,
+    /// Is no model server: answers every method at once with OK and the request's own bytes.
+    pub hollow: Cell<bool>,
+    /// Answers every method at once with this status.
+    pub hollow_status: Cell<Option<u8>>,
+    /// Tells that every load is done at once, and misses every call.
+    pub boast: Cell<bool>,
 }
 
 impl Faults {
     /// Sets or clears a fault by a word: `silent`, `silent-after=N`, `cut-after=N`, `slow=X`, `refuse`, `reset=CODE`,
-    /// `corrupt`, `twice`, `no-trailers`, `status=CODE`, or `clear` for none.
+    /// `corrupt`, `twice`, `no-trailers`, `status=CODE`, `hollow`, `hollow=CODE`, `boast`, or `clear` for none.
     pub fn set(&self, word: &str) -> Result<(), String> {
         let (name, value) = word.split_once('=').map_or((word, None), |(n, v)| (n, Some(v)));
         let number = || {
@@ -50,6 +56,9 @@
             "twice" => self.twice.set(true),
             "no-trailers" => self.no_trailers.set(true),
             "status" => self.status.set(Some(number()?.min(16) as u8)),
+            "hollow" if value.is_none() => self.hollow.set(true),
+            "hollow" => self.hollow_status.set(Some(number()?.min(16) as u8)),
+            "boast" => self.boast.set(true),
             "clear" => self.clear(),
             _ => return Err(format!("unknown fault {word:?}")),
         }
@@ -68,6 +77,9 @@
         self.twice.set(false);
         self.no_trailers.set(false);
         self.status.set(None);
+        self.hollow.set(false);
+        self.hollow_status.set(None);
+        self.boast.set(false);
     }
 
     /// How many times as long work takes.
@@ -83,7 +95,7 @@
     #[test]
     fn faults_are_set_by_words_and_bad_words_are_refused() {
         let f = Faults::default();
-        for word in ["silent", "silent-after=2", "slow=2.5", "status=14"] {
+        for word in ["silent", "silent-after=2", "slow=2.5", "status=14", "hollow", "hollow=12", "boast"] {
             f.set(word).unwrap();
         }
         assert_eq!((f.silent.get(), f.silent_after.get(), f.slowness()), (true, Some(2), 2.5));
@@ -92,6 +104,7 @@
             (f.silent.get(), f.silent_after.get(), f.slowness(), f.status.get()),
             (false, None, 1.0, None)
         );
+        assert!(!f.hollow.get() && !f.boast.get() && f.hollow_status.get().is_none());
         for word in ["", "quiet", "slow=0", "slow=nan", "cut-after", "cut-after=x"] {
             assert!(f.set(word).is_err(), "{word:?}");
         }
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -270,6 +270,28 @@
         // Until the other side lets go.
         return poll_fn(|cx| respond.poll_reset(cx).map(drop)).await;
     }
+    if faults.hollow.get() {
+        return unary(respond, &message, trailers(Code::Ok, ""));
+    }
+    if let Some(code) = faults.hollow_status.get() {
+        let code = Code::read(code.to_string().as_bytes());
+        return refuse(&mut respond, trailers(code, "as the fault says"));
+    }
+    if faults.boast.get() {
+        return match method.as_str() {
+            "RepositoryModelLoad" => {
+                let mut map = standin.told(Code::Ok, "");
+                map.insert(names::INSTANCES, HeaderValue::from(1));
+                unary(respond, &[], map);
+            }
+            "ServerReady" => unary(respond, &[8, 1], trailers(Code::Ok, "")),
+            _ => {
+                let mut map = trailers(Code::Unavailable, "not loaded here");
+                map.insert(names::NEVER_RAN, HeaderValue::from_static("not-loaded"));
+                refuse(&mut respond, map)
+            }
+        };
+    }
     match method.as_str() {
         "ModelInfer" | "ModelStreamInfer" => infer(standin, method == "ModelInfer", message, respond).await,
         "RepositoryModelLoad" => load(standin, message, respond).await,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -509,3 +509,99 @@
     b.done(0, 0, WorkerId(1), Outcome::TimedOut);
     b.wait(1_000 * MS);
 }
+
+/// One worker, orders answered by `answer` as soon as they are given, calls likewise missed; counts the orders of
+/// five seconds. `functions` functions have calls waiting all the time.
+fn orders_in_five_seconds(set: Settings, workers: u64, functions: u64, answer: (Outcome, u32)) -> usize {
+    let mut b = Bench::new(set);
+    b.ready(workers);
+    let (mut orders, mut next) = (0, 0);
+    let mut todo = std::collections::VecDeque::new();
+    while b.now < Time(5_000 * MS) {
+        for f in 0..functions {
+            next += 1;
+            todo.extend(b.call(next, f, 0, 5_000 * MS));
+        }
+        todo.extend(b.tell(Event::Timer { token: 0 }));
+        let mut steps = 0;
+        while let Some(a) = todo.pop_front() {
+            steps += 1;
+            assert!(steps < 100_000, "orders at the loop's speed");
+            match a {
+                Action::Load { worker, function, instances: wanted } => {
+                    orders += (wanted > 0) as usize;
+                    let (outcome, instances) = answer;
+                    let latency = 100;
+                    todo.extend(b.tell(Event::OrderDone { worker, function, outcome, latency, instances }));
+                }
+                Action::Send { request, worker, .. } => {
+                    let d = AttemptDone {
+                        request,
+                        attempt: 0,
+                        worker,
+                        outcome: Outcome::NotLoaded,
+                        concluded: true,
+                        latency: 100,
+                        note: Note::Silent,
+                        crowd: None,
+                        report: None,
+                    };
+                    todo.extend(b.tell(Event::AttemptDone(d)));
+                }
+                _ => {}
+            }
+        }
+        b.now = b.now.plus(50 * MS);
+    }
+    orders
+}
+
+#[test]
+fn orders_in_vain_wait_longer_each_time_at_a_place_and_are_paced_over_all() {
+    for answer in
+        [(Outcome::Served, 0), (Outcome::Error, 0), (Outcome::TurnedAway, 0), (Outcome::NotLoaded, 0)]
+    {
+        // At one place: at once, once more, then after half a second to three quarters, twice that, four times.
+        let n = orders_in_five_seconds(of(Effect::Safe), 1, 1, answer);
+        assert!((3..=6).contains(&n), "{answer:?}: {n}");
+        let n = orders_in_five_seconds(of(Effect::Safe), 1, 40, answer);
+        assert!((90..=102).contains(&n), "{answer:?}: {n} for many functions at one worker");
+        let n = orders_in_five_seconds(of(Effect::Safe), 20, 40, answer);
+        // Those in hand before the first answer, two a worker, then the pace.
+        assert!((60..=142).contains(&n), "{answer:?}: {n} at twenty workers");
+    }
+    let n = orders_in_five_seconds(of(Effect::Safe), 1, 1, (Outcome::Served, 1));
+    assert!((3..=6).contains(&n), "told done and missed: {n}");
+}
+
+#[test]
+fn a_call_served_or_a_restart_clears_what_was_in_vain() {
+    for restart in [false, true] {
+        let mut b = Bench::new(of(Effect::Safe));
+        b.ready(1);
+        let mut at = ordered(&b.call(1, 9, 0, 60_000 * MS)).expect("a load");
+        for _ in 0..4 {
+            let mut next = b.loaded(at, 9, Outcome::Error);
+            while ordered(&next).is_none() {
+                next = b.wait(10 * MS);
+            }
+            at = ordered(&next).unwrap();
+        }
+        let since = b.now;
+        let next = if restart {
+            b.loaded(at, 9, Outcome::Error);
+            let now = b.now;
+            b.list(ListKind::Full, vec![worker(1, WorkerState::Ready, Some(now))]);
+            b.wait(60 * MS)
+        } else {
+            assert_eq!(sent(&b.loaded(at, 9, Outcome::Served)), Some(at));
+            b.done(1, 0, at, Outcome::Served);
+            // It lapses; the next order fails once, and is given again at once as after a first failure.
+            b.wait(20_000 * MS);
+            assert!(ordered(&b.call(2, 9, 0, 60_000 * MS)).is_some());
+            b.loaded(at, 9, Outcome::Error);
+            b.wait(600 * MS)
+        };
+        assert!(ordered(&next).is_some(), "restart {restart}, {} us on", b.now.since(since));
+    }
+}
