--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,9 @@
 //! What departs from it is marked EXCEPTION, with the symptom it answers and where it could harm.
 
 use crate::api::*;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::Excluded;
 
 /// How often held calls and silent workers are looked over, microseconds. Well under any human-scale aim.
 const SWEEP: Span = 20_000;
@@ -115,6 +117,12 @@
     calls: Recent,
     places: BTreeMap<WorkerId, Place>,
     line: BTreeSet<Turn>,
+    /// Those of its line that were sent before: whether they may be again changes with time.
+    again: BTreeSet<Turn>,
+    /// The largest hint in its line, since it was last empty.
+    heaviest: Span,
+    /// The workers by this function's claim at strength one, as of one reading of the list.
+    order: RefCell<(u64, Vec<(f64, WorkerId)>)>,
 }
 
 /// A mean and a mean deviation, both in microseconds.
@@ -157,6 +165,10 @@
         self.0.add(now, ratio, memory);
         self.1.add(now, 1.0, memory);
     }
+    /// What its slowness is never under, whatever is presumed: that is no less than one's own.
+    fn least(&self) -> f64 {
+        Some(self.0.sum / self.1.sum).filter(|r| *r >= 0.0).unwrap_or(1.0)
+    }
     fn slowness(&self, presumed: f64) -> f64 {
         (self.0.sum + FEW * presumed) / (self.1.sum + FEW)
     }
@@ -193,6 +205,10 @@
     next_test: Time,
     shares: f64,
     ready: f64,
+    readings: u64,
+    largest: f64,
+    /// No more than any worker's slowness, since the last sweep.
+    quickest: f64,
     began: Time,
     next_sweep: Time,
     timer_at: Option<Time>,
@@ -228,6 +244,9 @@
             listed_at: now.plus(-set.ask_within),
             shares: 0.0,
             ready: 0.0,
+            readings: 0,
+            largest: 0.0,
+            quickest: 0.0,
             began: now,
             set,
         })
@@ -307,6 +326,8 @@
         }
         self.shares = self.ready().map(|(_, w)| w.entry.share).sum();
         self.ready = self.ready().count() as f64;
+        self.largest = self.ready().map(|(_, w)| w.entry.share).fold(0.0, f64::max);
+        self.readings += 1;
         if self.loads.window == 0.0 {
             self.loads.window = self.ready * LOADS_AT_WORKER as f64 / siblings as f64;
         }
@@ -346,27 +367,25 @@
     }
 
     /// How much of a function belongs at a worker: the same order at every front end, or an own one of each.
-    fn claim(&self, f: FunctionId, wid: WorkerId, own: bool) -> f64 {
-        let strength = self.workers.get(&wid).map_or(0.0, |w| self.strength(w));
-        rendezvous(if own { FunctionId(mix(f.0 ^ self.set.me as u64)) } else { f }, wid, strength)
+    fn claim(&self, f: FunctionId, id: WorkerId, w: &Worker, own: bool) -> f64 {
+        rendezvous(if own { FunctionId(mix(f.0 ^ self.set.me as u64)) } else { f }, id, self.strength(w))
     }
 
     /// Whether a worker may take new work at all: what every send and every load order passes.
-    fn open(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(|w| w.entry.state == WorkerState::Ready && !w.suspect)
+    fn open(w: &Worker) -> bool {
+        w.entry.state == WorkerState::Ready && !w.suspect
     }
 
     // ---- Ledger ----
 
     /// The gate of rules 1 and 2 for every send, with the room and health of the worker.
-    fn may_send(&self, r: &Request, wid: WorkerId, now: Time) -> bool {
-        let Some(w) = self.workers.get(&wid) else { return false };
+    fn may_send(&self, r: &Request, w: &Worker, now: Time) -> bool {
         let class = &self.set.classes[r.class];
         let owed = !r.concluded && !r.streaming && now < r.deadline && !r.pending();
         let ready = w.entry.state == WorkerState::Ready;
         let trial = ready && w.suspect && w.trial && class.effect == Effect::Safe;
         let weight = self.class_service[r.class];
-        owed && (self.open(wid) || trial)
+        owed && (Self::open(w) || trial)
             && (w.in_flight as f64) < w.limit.max(1.0)
             && Self::rest(w, weight, now) <= 0.0
             && self.cold_credit(w, weight, now).is_none_or(|c| c >= weight)
@@ -442,7 +461,9 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let (Some(turn), Some(f)) = (r.line.take(), self.functions.get_mut(&r.function)) else { return };
         f.line.remove(&turn);
+        f.again.remove(&turn);
         if f.line.is_empty() {
+            f.heaviest = 0;
             self.waiting.remove(&r.function);
         }
     }
@@ -456,6 +477,10 @@
         if let (Some(r), Some(f)) = (self.requests.get_mut(&id), self.functions.get_mut(&fid)) {
             r.line = Some(turn);
             f.line.insert(turn);
+            f.heaviest = f.heaviest.max(r.hint.unwrap_or(0));
+            if !r.attempts.is_empty() {
+                f.again.insert(turn);
+            }
             self.waiting.insert(fid);
         }
     }
@@ -537,6 +562,7 @@
             let slow = ran && warm && took > aim / 2.0 && took > 2.0 * usual;
             if ran && warm {
                 w.pace.add(now, took / usual.max(1.0), memory);
+                self.quickest = self.quickest.min(took / usual.max(1.0));
                 self.kinds.entry(w.entry.kind).or_default().add(now, took / usual.max(1.0), memory);
             }
             let bad = slow || matches!(d.outcome, Outcome::TurnedAway | Outcome::TimedOut);
@@ -630,18 +656,30 @@
         filled.max(self.set.idle_life.max(SECOND) as f64 / 2.0)
     }
 
-    fn alive(&self, w: WorkerId, p: &Place, now: Time) -> bool {
-        let reborn = self.workers.get(&w).and_then(|w| w.entry.started).is_some_and(|t| t > p.touched);
+    /// Its places with their workers; both maps are in the workers' order, so many are found in one pass.
+    fn seats<'a>(&'a self, f: &'a Function) -> impl Iterator<Item = (WorkerId, &'a Place, &'a Worker)> {
+        let many = 8 * f.places.len() > self.workers.len();
+        let mut walk = self.workers.iter().peekable();
+        f.places.iter().filter_map(move |(id, p)| {
+            if !many {
+                return Some((*id, p, self.workers.get(id)?));
+            }
+            while walk.next_if(|(w, _)| *w < id).is_some() {}
+            walk.next_if(|(w, _)| *w == id).map(|(_, w)| (*id, p, w))
+        })
+    }
+
+    fn alive(&self, w: &Worker, p: &Place, now: Time) -> bool {
+        let reborn = w.entry.started.is_some_and(|t| t > p.touched);
         let fresh = now.since(p.touched) < (self.set.idle_life as f64 * LAPSE) as Span;
         p.warm && !reborn && (p.in_flight > 0 || fresh)
     }
 
     /// Silent for long, or at rest for it: it does not count as a place, so that another may be loaded.
-    fn stuck(&self, w: WorkerId, p: &Place, now: Time) -> bool {
+    fn stuck(&self, w: &Worker, p: &Place, now: Time) -> bool {
         let last = p.last_send.map_or(p.touched, |t| t.max(p.touched));
         let silent = p.in_flight > 0 && now.since(last) as f64 > PATIENCE / 2.0 * self.answer_time();
-        let rest = |w: &Worker| Self::rest(w, self.class_service[0], now);
-        let bad = self.workers.get(&w).is_none_or(|w| rest(w) > self.answer_time());
+        let bad = Self::rest(w, self.class_service[0], now) > self.answer_time();
         now < p.barred_until || silent || bad
     }
 
@@ -649,16 +687,16 @@
     /// aim is held like any other: sent on to a queue it made others late too.
     fn pick(&self, r: &Request, now: Time) -> Option<WorkerId> {
         let f = self.functions.get(&r.function)?;
-        let free = f.places.iter().filter(|(w, p)| {
-            let lane = p.in_flight < p.copies.max(1) * f.lanes;
-            lane && now >= p.barred_until && self.alive(**w, p, now) && self.may_send(r, **w, now)
-        });
-        let age = |w: &WorkerId, p: &Place| {
-            let strength = self.workers.get(w).map_or(0.0, |w| self.strength(w));
-            let unused = || (1, self.claim(r.function, *w, true));
-            p.last_send.map_or_else(unused, |t| (0, now.since(t) as f64 * strength))
+        let lane = |p: &Place| p.warm && p.in_flight < p.copies.max(1) * f.lanes && now >= p.barred_until;
+        // The worker is looked up last: mostly, while calls wait, no lane is free.
+        let free = f.places.iter().filter(|(_, p)| lane(p));
+        let free = free.filter_map(|(id, p)| Some((*id, p, self.workers.get(id)?)));
+        let free = free.filter(|(_, p, w)| self.alive(w, p, now) && self.may_send(r, w, now));
+        let age = |id: WorkerId, p: &Place, w: &Worker| {
+            let unused = || (1, self.claim(r.function, id, w, true));
+            p.last_send.map_or_else(unused, |t| (0, now.since(t) as f64 * self.strength(w)))
         };
-        let aged = free.map(|(w, p)| (age(w, p), *w));
+        let aged = free.map(|(id, p, w)| (age(id, p, w), id));
         aged.max_by(|a, b| a.0 .0.cmp(&b.0 .0).then(a.0 .1.total_cmp(&b.0 .1))).map(|(_, w)| w)
     }
 
@@ -700,37 +738,31 @@
         let cap = 1 + ((f.calls.sum - 1.0).max(0.0) * each) as usize;
         let wide = 1 + (f.calls.sum * each) as usize;
         let wait = self.load_wait(f);
-        let taken = |w: WorkerId, p: &Place| {
-            self.alive(w, p, now) || p.ordered.is_some_and(|t| now.since(t) < 3 * wait)
-        };
-        let counts = |w: &WorkerId, p: &Place| self.open(*w) && !self.stuck(*w, p, now) && taken(*w, p);
-        let have = f.places.iter().filter(|(w, p)| counts(w, p)).count();
-        if have >= wide {
+        let ordered = |p: &Place| p.ordered.is_some_and(|t| now.since(t) < 3 * wait);
+        let taken = |w: &Worker, p: &Place| self.alive(w, p, now) || ordered(p);
+        let counts = |w: &Worker, p: &Place| Self::open(w) && !self.stuck(w, p, now) && taken(w, p);
+        let have = self.seats(f).filter(|(_, p, w)| counts(w, p)).take(wide).count();
+        // The last: wherever it could be loaded it stands or comes already.
+        if have >= wide || have as f64 >= self.ready {
             return;
         }
         let direct = !self.set.may_order;
-        let mut home: Vec<(f64, WorkerId)> = Vec::new();
         let paced = now < self.loads.next_vain;
-        for (&wid, w) in self.ready().filter(|(id, _)| self.open(**id)) {
-            let out = |p: &Place| self.stuck(wid, p, now) || p.ordered.is_some() && !taken(wid, p);
-            if paced && (w.vain || self.loads.vain) {
-                continue;
-            }
-            let may = !direct || self.requests.get(&id).is_some_and(|r| self.may_send(r, wid, now));
-            if may && !f.places.get(&wid).is_some_and(out) {
-                home.push((self.claim(fid, wid, false), wid));
-            }
-        }
-        home.sort_by(|a, b| b.0.total_cmp(&a.0));
-        home.truncate(wide);
+        let request = self.requests.get(&id);
+        let may = |w: &Worker, p: Option<&Place>| {
+            let out = |p: &Place| self.stuck(w, p, now) || p.ordered.is_some() && !taken(w, p);
+            let room = !direct || request.is_some_and(|r| self.may_send(r, w, now));
+            Self::open(w) && !(paced && (w.vain || self.loads.vain)) && room && !p.is_some_and(out)
+        };
+        let home = self.home(fid, f, wide, may);
         let lately = |t: Option<Time>, span| t.is_some_and(|t| now.since(t) < span);
-        let open = home.into_iter().enumerate().filter_map(|(rank, (_, w))| {
-            let p = f.places.get(&w);
+        let open = home.into_iter().enumerate().filter_map(|(rank, (_, id))| {
+            let (p, w) = (f.places.get(&id), self.workers.get(&id)?);
             let load = rank < cap && have < cap;
             let asked = lately(p.and_then(|p| p.asked), self.set.idle_life);
-            (!p.is_some_and(|p| taken(w, p)) && (load || !asked)).then_some((load, w))
+            (!p.is_some_and(|p| taken(w, p)) && (load || !asked)).then_some((load, id, w))
         });
-        let own = open.map(|(load, w)| (self.claim(fid, w, true), load, w));
+        let own = open.map(|(load, id, w)| (self.claim(fid, id, w, true), load, id));
         let Some((_, load, wid)) = own.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         if direct {
             return self.send(now, id, wid, out);
@@ -758,6 +790,36 @@
         }
     }
 
+    /// The highest claims of a function, so many, among the workers that may have it. Strength is little more
+    /// than one for most, so that the order at strength one ends the search early; it changes nothing.
+    fn home(
+        &self,
+        fid: FunctionId,
+        f: &Function,
+        size: usize,
+        may: impl Fn(&Worker, Option<&Place>) -> bool,
+    ) -> Vec<(f64, WorkerId)> {
+        let mut order = f.order.borrow_mut();
+        if order.0 != self.readings {
+            let ranked = self.ready().map(|(id, _)| (rendezvous(fid, *id, 1.0), *id));
+            *order = (self.readings, ranked.collect());
+            order.1.sort_by(|a, b| b.0.total_cmp(&a.0));
+        }
+        let strongest = self.largest / self.quickest * 1.000_001;
+        let mut home: Vec<(f64, WorkerId)> = Vec::new();
+        for &(claim, id) in &order.1 {
+            if home.len() >= size && home.last().is_some_and(|l| l.0 > claim * strongest) {
+                break;
+            }
+            let Some(w) = self.workers.get(&id).filter(|w| may(w, f.places.get(&id))) else { continue };
+            let own = (self.claim(fid, id, w, false), id);
+            let at = home.partition_point(|h| h.0 > own.0 || h.0 == own.0 && h.1 < own.1);
+            home.insert(at, own);
+            home.truncate(size);
+        }
+        home
+    }
+
     /// How long a load of this function should take now.
     fn load_wait(&self, f: &Function) -> Span {
         let mean = self.loads.took.mean;
@@ -853,6 +915,8 @@
     }
 
     fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
+        let paces = self.workers.values().map(|w| &w.pace).chain(self.kinds.values());
+        self.quickest = paces.map(Pace::least).fold(1.0, f64::min);
         if now >= self.next_tidy {
             self.next_tidy = now.plus(SECOND);
             // What was called once, long ago, is forgotten, or one-off functions would fill our memory.
@@ -875,12 +939,11 @@
         // (not a load), late ones are refused: they would make the next late. Harm: their small worth.
         let contended = self.waiting.iter().filter_map(|f| self.functions.get(f)).any(|f| {
             let timely = f.line.first().is_some_and(|t| t.0 < 2);
-            timely && f.places.iter().any(|(w, p)| self.alive(*w, p, now))
+            timely && self.seats(f).any(|(_, p, w)| self.alive(w, p, now))
         });
         let mut heads = Vec::new();
         for fid in self.waiting.iter().copied().collect::<Vec<_>>() {
-            let line = self.functions.get(&fid).map(|f| f.line.clone());
-            for turn in line.into_iter().flatten() {
+            for turn in self.looked_over(fid, now) {
                 let Some(r) = self.requests.get(&turn.2) else { continue };
                 let past = |t: Time, span: f64| now.since(t) as f64 + span > 0.0;
                 let expected = self.expected(r).0;
@@ -901,6 +964,20 @@
         heads.into_iter().for_each(|(_, fid)| self.pump(now, fid, out));
     }
 
+    /// Those of a function's line that a sweep may find late, lost or not to be sent again, in their order. A
+    /// first try whose aim is further off than any answer takes is none of these.
+    fn looked_over(&self, fid: FunctionId, now: Time) -> Vec<Turn> {
+        let Some(f) = self.functions.get(&fid) else { return Vec::new() };
+        let slowest = self.class_service.iter().copied().fold(0.0, f64::max);
+        let heavy = if f.mean_hint > 0.0 { f.heaviest as f64 / f.mean_hint } else { 1.0 };
+        let longest = (f.service.unwrap_or(slowest) * heavy.max(1.0)).max(self.answer_time());
+        let near = (0, now.plus((longest as Span).saturating_add(2)), RequestId(u64::MAX));
+        let mut turns: Vec<Turn> = f.line.range(..=near).copied().collect();
+        turns.extend(f.again.range((Excluded(near), Excluded((2, Time(i64::MIN), RequestId(0))))));
+        turns.extend(f.line.range((2, Time(i64::MIN), RequestId(0))..));
+        turns
+    }
+
     /// Looks for workers that answer nothing though their peers do, tests the suspects, and frees from them
     /// the calls that may be repeated.
     fn watch(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -605,3 +605,111 @@
         assert!(ordered(&next).is_some(), "restart {restart}, {} us on", b.now.since(since));
     }
 }
+
+#[test]
+fn with_thousands_waiting_late_lost_and_repeated_calls_are_still_found_in_their_order() {
+    // Calls with hints from light to heavy wait on one busy lane; some come back from a worker that is cut off.
+    let mut set = of(Effect::Safe);
+    set.classes[0].aim = 2 * SECOND;
+    set.classes[0].deadline = 6 * SECOND;
+    let mut b = Bench::new(set);
+    b.ready(2);
+    let (mut ended, mut next) = (std::collections::BTreeMap::new(), 0u64);
+    let mut began = std::collections::BTreeMap::new();
+    let mut out: Vec<(RequestId, WorkerId, u32)> = Vec::new();
+    let mut attempts: std::collections::BTreeMap<RequestId, u32> = Default::default();
+    let mut rng = fastrand::Rng::with_seed(5);
+    for step in 0..900 {
+        let mut actions = Vec::new();
+        if step < 300 {
+            for _ in 0..10 {
+                next += 1;
+                began.insert(RequestId(next), b.now);
+                actions.extend(b.tell(Event::Arrival(Arrival {
+                    request: RequestId(next),
+                    function: FunctionId(next % 3),
+                    class: 0,
+                    tenant: 0,
+                    budget: rng.i64(1_000..6_000) * MS,
+                    work_hint: Some(rng.i64(1..200) * MS),
+                    lanes: 2,
+                    memory_mb: 300.0,
+                    load_time: Some(50 * MS),
+                    repeat: false,
+                })));
+            }
+        }
+        if !out.is_empty() {
+            let (request, worker, attempt) = out.remove(0);
+            let outcome = *rng.choice(&[Outcome::Served, Outcome::Served, Outcome::TurnedAway]).unwrap();
+            let concluded = outcome == Outcome::Served;
+            if concluded {
+                ended.insert(request, b.now);
+            }
+            let (latency, note) = (20 * MS, Note::Warm);
+            let d = AttemptDone {
+                request,
+                attempt,
+                worker,
+                outcome,
+                concluded,
+                latency,
+                note,
+                crowd: None,
+                report: None,
+            };
+            actions.extend(b.tell(Event::AttemptDone(d)));
+        }
+        b.now = b.now.plus(10 * MS);
+        actions.extend(b.tell(Event::Timer { token: 0 }));
+        while let Some(a) = actions.pop() {
+            match a {
+                Action::Load { worker, function, .. } => {
+                    actions.extend(b.loaded(worker, function.0, Outcome::Served));
+                }
+                Action::Send { request, worker, .. } => {
+                    let n = attempts.entry(request).or_default();
+                    out.push((request, worker, *n));
+                    *n += 1;
+                }
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    assert!(ended.insert(request, b.now).is_none(), "{request:?} ended twice");
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(ended.len() as u64, next, "every call has an end");
+    let late = ended.iter().filter(|(r, at)| at.since(began[r]) > 6 * SECOND).count();
+    assert_eq!(late, 0, "none after its client's time");
+}
+
+#[test]
+fn a_held_call_ends_when_it_can_no_longer_be_of_use_and_not_at_its_deadline() {
+    // Too late for any worth, behind calls whose aims are further off.
+    let mut set = of(Effect::Safe);
+    (set.classes[0].late_worth, set.classes[0].aim, set.classes[0].deadline) = (0.0, SECOND, 30 * SECOND);
+    set.classes.push(Class { aim: 20 * SECOND, ..set.classes[0].clone() });
+    let mut b = Bench::new(set);
+    b.ready(1);
+    for n in 2..200 {
+        b.call(n, 9, 1, 30_000 * MS);
+    }
+    b.call(1, 9, 0, 30_000 * MS);
+    let refused = Action::Refuse { request: RequestId(1), stay_away: 0 };
+    assert!(!b.wait(500 * MS).contains(&refused), "half of its aim is left");
+    let actions = b.wait(500 * MS);
+    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).collect::<Vec<_>>(), [&refused]);
+
+    // Sent once, and from a moment on not to be sent again, with its aim far off.
+    let mut set = of(Effect::Keyed { group: Group::Zone, window: 3 * SECOND });
+    (set.classes[0].aim, set.classes[0].deadline) = (5 * SECOND, 60 * SECOND);
+    let mut b = Bench::new(set);
+    b.ready(1);
+    let at = b.sent(1, 9, 0);
+    b.call(2, 9, 0, 60_000 * MS);
+    b.done(1, 0, at, Outcome::ConnectionLost);
+    let failed = Action::Fail { request: RequestId(1) };
+    assert!(!b.wait(2_000 * MS).contains(&failed), "it may be sent again yet");
+    assert!(b.wait(600 * MS).contains(&failed), "its window, less two connect time-outs, is over");
+}
