At most 128 functions at one look; benches of growth, waiting and slow clients

With 1,000 functions at 400 workers and 20,000 calls open one look over all waiting functions took 35 ms, longer than the 20 ms to the next, so that every event was followed by a look and none of the calls was served.

Seen to fail: without the turns the new test of 600 waiting functions finds only the first ones looked over.

--- a/benches/cost/src/client.rs
+++ b/benches/cost/src/client.rs
@@ -9,6 +9,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tansy_frames::grpc::{frame, Code};
 use tansy_inference::inference as pb;
@@ -28,6 +29,8 @@
     pub rate: Option<u64>,
     /// For how long.
     pub span: Duration,
+    /// Functions that are called in turn: `echo`, or `f0`, `f1` and so on.
+    pub functions: usize,
 }
 
 /// What came of it.
@@ -63,7 +66,13 @@
     }
 }
 
-fn request() -> Bytes {
+/// Framed requests of so many functions, `echo` if it is one.
+fn requests(functions: usize) -> Rc<Vec<Bytes>> {
+    let name = |n: usize| if functions == 1 { "echo".to_string() } else { format!("f{n}") };
+    Rc::new((0..functions).map(|n| request(name(n))).collect())
+}
+
+fn request(function: String) -> Bytes {
     let a = answer();
     let input = pb::model_infer_request::InferInputTensor {
         name: "x".into(),
@@ -72,7 +81,7 @@
         ..Default::default()
     };
     let message = pb::ModelInferRequest {
-        model_name: a.model_name,
+        model_name: function,
         id: a.id,
         inputs: vec![input],
         raw_input_contents: a.raw_output_contents,
@@ -106,12 +115,15 @@
     latencies: RefCell<Histogram<u64>>,
 }
 
+/// Calls served by all runs of this process so far.
+pub static SERVED: AtomicU64 = AtomicU64::new(0);
+
 pub fn run(target: SocketAddr, load: Load) -> Result<Measured, crate::Error> {
     let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
     let spawner = Spawner::new(event_loop.handle())?;
     let links: Vec<Rc<Link>> =
         (0..CONNECTIONS).map(|_| Link::new(spawner.clone(), target, Limits::default())).collect();
-    let body = request();
+    let bodies = requests(load.functions);
     let run = Rc::new(Run {
         served: Cell::new(0),
         failed: Cell::new(0),
@@ -120,7 +132,8 @@
     });
     let start = Instant::now();
     let one = |n: usize, due: Instant| {
-        let (run, link, body) = (run.clone(), links[n % CONNECTIONS].clone(), body.clone());
+        let (run, link) = (run.clone(), links[n % CONNECTIONS].clone());
+        let body = bodies[n % bodies.len()].clone();
         run.open.set(run.open.get() + 1);
         async move {
             let ok = call(&link, body).await;
@@ -135,14 +148,18 @@
     match load.rate {
         None => {
             for n in 0..load.open {
-                let (run, link, body) = (run.clone(), links[n % CONNECTIONS].clone(), body.clone());
+                let (run, link, bodies) = (run.clone(), links[n % CONNECTIONS].clone(), bodies.clone());
+                let mut next = n;
                 spawner.spawn(async move {
                     while start.elapsed() < load.span {
                         let due = Instant::now();
-                        let ok = call(&link, body.clone()).await;
+                        // A step that goes through all functions, whatever the number of clients.
+                        next = next.wrapping_add(7919);
+                        let ok = call(&link, bodies[next % bodies.len()].clone()).await;
                         let count = if ok { &run.served } else { &run.failed };
                         count.set(count.get() + 1);
                         if ok {
+                            SERVED.fetch_add(1, Ordering::Relaxed);
                             run.latencies.borrow_mut().saturating_record(due.elapsed().as_nanos() as u64);
                         }
                     }
@@ -182,7 +199,7 @@
     let spawner = Spawner::new(event_loop.handle())?;
     let links: Vec<Rc<Link>> =
         (0..CONNECTIONS).map(|_| Link::new(spawner.clone(), target, Limits::default())).collect();
-    let body = request();
+    let body = request("echo".into());
     for n in 0..calls {
         let (link, body) = (links[n % CONNECTIONS].clone(), body.clone());
         spawner.spawn(async move {
--- a/benches/cost/src/main.rs
+++ b/benches/cost/src/main.rs
@@ -4,6 +4,7 @@
 //! Every part is a process of its own; the gateway and the proxy have one thread each. The worker answers at once.
 
 mod client;
+mod grown;
 mod proxy;
 mod worker;
 
@@ -45,15 +46,41 @@
     Worker {
         #[arg(long)]
         silent: bool,
+        /// Milliseconds of each answer.
+        #[arg(long, default_value_t = 0)]
+        delay: u64,
+        /// Ports: so many workers in one process.
+        #[arg(long, default_value_t = 1)]
+        ports: usize,
+    },
+    /// Cost and memory of a call after ever more calls.
+    Growth {
+        #[arg(long, default_value_t = 2_000_000)]
+        calls: u64,
+    },
+    /// Cost of a call by calls that wait, functions and workers.
+    Waiting,
+    /// Latency while many clients have sent half a request each.
+    Slow {
+        #[arg(long, default_value_t = 10_000)]
+        clients: usize,
     },
     /// Only the load, on a gRPC port that serves already.
-    Load { target: SocketAddr },
+    Load {
+        target: SocketAddr,
+        /// Calls open at once.
+        #[arg(long, default_value_t = 256)]
+        open: usize,
+        /// For so long.
+        #[arg(long, default_value_t = 1)]
+        seconds: u64,
+    },
     /// The plain proxy.
     Proxy { workers: Vec<SocketAddr> },
 }
 
 /// A process, ended with its owner.
-struct Process(Child, SocketAddr);
+struct Process(Child, SocketAddr, String);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -71,7 +98,12 @@
         BufReader::new(out).read_line(&mut line)?;
         let address = line.split("grpc=").nth(1).and_then(|r| r.split_whitespace().next());
         let address = address.ok_or(format!("no `ready` line but {line:?}"))?.parse()?;
-        Ok(Process(child, address))
+        Ok(Process(child, address, line))
+    }
+    /// All ports of a worker process.
+    fn ports(&self) -> Vec<SocketAddr> {
+        let all = self.2.split("all=").nth(1).unwrap_or("").trim().split(',');
+        all.filter_map(|a| a.parse().ok()).collect()
     }
     /// CPU time used so far, seconds.
     fn cpu(&self) -> f64 {
@@ -92,11 +124,16 @@
 fn main() -> Result<(), Error> {
     let a = Arguments::parse();
     match a.role {
-        Some(Role::Worker { silent }) => worker::run(silent),
+        Some(Role::Worker { silent, delay, ports }) => {
+            worker::run(silent, Duration::from_millis(delay), ports.max(1))
+        }
+        Some(Role::Growth { calls }) => grown::growth(&a, calls),
+        Some(Role::Waiting) => grown::waiting(&a),
+        Some(Role::Slow { clients }) => grown::slow(&a, clients),
         Some(Role::Proxy { workers }) => proxy::run(workers),
-        Some(Role::Load { target }) => {
-            let m =
-                client::run(target, Load { open: a.open, rate: None, span: Duration::from_secs(a.seconds) })?;
+        Some(Role::Load { target, open, seconds }) => {
+            let span = Duration::from_secs(seconds);
+            let m = client::run(target, Load { open, rate: None, span, functions: 1 })?;
             let rate = m.served as f64 / m.seconds;
             println!(
                 "{rate:.0} calls/s, p50 {:.0} us, p99 {:.0} us, {} failed",
@@ -117,12 +154,29 @@
 }
 
 fn gateway(a: &Arguments, workers: &[SocketAddr]) -> Result<Process, Error> {
+    gateway_of(a, workers, 1, 4096)
+}
+
+fn gateway_of(
+    a: &Arguments,
+    workers: &[SocketAddr],
+    functions: usize,
+    lanes: usize,
+) -> Result<Process, Error> {
+    let names = if functions == 1 {
+        vec!["echo".into()]
+    } else {
+        (0..functions).map(|n| format!("f{n}")).collect::<Vec<_>>()
+    };
+    let function = |n: &String| format!("{n}: {{class: \"c\", lanes: {lanes}, memory: 1MB, load_time: 5ms}}");
+    let functions: Vec<String> = names.iter().map(function).collect();
     let path = std::env::temp_dir().join(format!("tansy-bench-{}.cue", std::process::id()));
     let line = |(n, w): (usize, &SocketAddr)| format!("{{name: \"w{n}\", address: \"{w}\"}}");
     let list: Vec<String> = workers.iter().enumerate().map(line).collect();
     let text = format!(
-        "classes: c: {{aim: 5s, deadline: 60s}}\nfunctions: echo: {{class: \"c\", lanes: 4096, memory: 1MB}}\n\
-         front: {{max_held: 100000, streams: 100000}}\nworkers: [{}]\n",
+        "classes: c: {{aim: 60s, deadline: 120s}}\nfunctions: {{{}}}\n\
+         front: {{max_held: 100000, streams: 100000, connections: 50000}}\nworkers: [{}]\n",
+        functions.join(", "),
         list.join(", ")
     );
     std::fs::File::create(&path)?.write_all(text.as_bytes())?;
@@ -137,8 +191,8 @@
     let workers = [Process::start(&mut me("worker")?)?, Process::start(&mut me("worker")?)?];
     let at: Vec<SocketAddr> = workers.iter().map(|w| w.1).collect();
     let span = Duration::from_secs(a.seconds);
-    let full = Load { open: a.open, rate: None, span };
-    let paced = Load { open: 100_000, rate: Some(a.rate), span };
+    let full = Load { open: a.open, rate: None, span, functions: 1 };
+    let paced = Load { open: 100_000, rate: Some(a.rate), span, functions: 1 };
     let proxied = {
         let mut c = me("proxy")?;
         c.args(at.iter().map(SocketAddr::to_string));
--- a/benches/cost/src/worker.rs
+++ b/benches/cost/src/worker.rs
@@ -12,16 +12,15 @@
 use tansy_net_grpc::server::{head, listen, trailers, Limits, Messages, Server};
 use tansy_net_grpc::Spawner;
 
-pub fn run(silent: bool) -> Result<(), crate::Error> {
+/// Serves `ports` ports, the first of them told as `grpc`, all as `all`; each answer to a call takes `delay`.
+pub fn run(silent: bool, delay: Duration, ports: usize) -> Result<(), crate::Error> {
     let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
     let spawner = Spawner::new(event_loop.handle())?;
-    let listener = listen("127.0.0.1:0".parse()?, false)?;
-    let address = listener.local_addr()?;
     let answer = frame(&crate::client::answer().encode_to_vec());
     let tasks = spawner.clone();
     let handler = Rc::new(
         move |request: http::Request<h2::RecvStream>, mut respond: h2::server::SendResponse<Bytes>| {
-            let answer = answer.clone();
+            let (answer, again) = (answer.clone(), tasks.clone());
             tasks.spawn(async move {
                 let (parts, body) = request.into_parts();
                 let mut messages = Messages::new(body, 1 << 22);
@@ -31,6 +30,9 @@
                 if call && silent {
                     return poll_fn(|cx| respond.poll_reset(cx).map(drop)).await;
                 }
+                if call && !delay.is_zero() {
+                    again.sleep(delay).await;
+                }
                 let mut map = trailers(Code::Ok, "");
                 map.insert(names::INSTANCE, HeaderValue::from_static("warm"));
                 map.insert(names::INSTANCES, HeaderValue::from_static("1"));
@@ -46,8 +48,13 @@
         },
     );
     let limits = Limits { streams: 100_000, ..Limits::default() };
-    let _server = Server::start(spawner, listener, limits, handler)?;
-    println!("ready grpc={address}");
+    let mut all = Vec::new();
+    for _ in 0..ports {
+        let listener = listen("127.0.0.1:0".parse()?, false)?;
+        all.push(listener.local_addr()?.to_string());
+        Server::start(spawner.clone(), listener, limits, handler.clone())?;
+    }
+    println!("ready grpc={} all={}", all[0], all.join(","));
     loop {
         event_loop.dispatch(Some(Duration::from_secs(1)), &mut ())?;
     }
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -100,11 +100,8 @@
     settings.gateway.listen = a.listen.unwrap_or(settings.gateway.listen);
     settings.gateway.http = a.http.unwrap_or(settings.gateway.http);
     if a.check {
-        println!(
-            "{name}: {} classes, {} functions",
-            settings.front.classes.len(),
-            settings.front.functions.len()
-        );
+        let (classes, functions) = (settings.front.classes.len(), settings.front.functions.len());
+        say(&format!("{name}: {classes} classes, {functions} functions"));
         return ExitCode::SUCCESS;
     }
     let options = Options { embedded: a.embedded, shared: a.shared, workers: a.workers, record: a.record };
@@ -115,12 +112,10 @@
             return ExitCode::from(1);
         }
     };
-    println!("ready grpc={} http={}", gateway.grpc(), gateway.http());
-    // A reader that went away is no reason to stop serving.
-    let _ = std::io::stdout().flush();
+    say(&format!("ready grpc={} http={}", gateway.grpc(), gateway.http()));
     match gateway.run() {
         Ok(account) => {
-            println!("account {account}");
+            say(&format!("account {account}"));
             ExitCode::SUCCESS
         }
         Err(e) => {
@@ -130,6 +125,12 @@
     }
 }
 
+/// A line on standard output. A reader that went away is no reason to stop serving, nor to end in a panic.
+fn say(line: &str) {
+    let mut out = std::io::stdout();
+    let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+}
+
 fn wrong(what: &str) -> ExitCode {
     eprintln!("{what}");
     ExitCode::from(2)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,8 @@
 
 /// How often held calls and silent workers are looked over, microseconds. Well under any human-scale aim.
 const SWEEP: Span = 20_000;
+/// Functions that one look serves at most.
+const SWEPT: usize = 128;
 /// A place takes at least so many calls at a time, however little the workers carry.
 const LEAST_PLACE: f64 = 0.5;
 /// Part of the idle life after which a belief lapses: the rest covers travel and late sweeps.
@@ -211,6 +213,7 @@
     quickest: f64,
     began: Time,
     next_sweep: Time,
+    swept: usize,
     timer_at: Option<Time>,
     listed_at: Time,
 }
@@ -240,6 +243,7 @@
             next_tidy: now,
             next_test: now,
             next_sweep: now,
+            swept: 0,
             timer_at: None,
             listed_at: now.plus(-set.ask_within),
             shares: 0.0,
@@ -961,7 +965,12 @@
             heads.extend(self.functions.get(&fid).and_then(|f| f.line.first()).map(|t| (*t, fid)));
         }
         heads.sort();
-        heads.into_iter().for_each(|(_, fid)| self.pump(now, fid, out));
+        // EXCEPTION: no more than so many functions at one look, in turns: else, with very many, it lasts longer
+        // than until the next, and nothing else is done. Harm: some are looked over later.
+        let (n, skip) = (heads.len(), if heads.len() > SWEPT { self.swept % heads.len() } else { 0 });
+        self.swept = skip + SWEPT;
+        let turns = heads.into_iter().cycle().skip(skip).take(n.min(SWEPT));
+        turns.for_each(|(_, fid)| self.pump(now, fid, out));
     }
 
     /// Those of a function's line that a sweep may find late, lost or not to be sent again, in their order. A
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -713,3 +713,31 @@
     assert!(!b.wait(2_000 * MS).contains(&failed), "it may be sent again yet");
     assert!(b.wait(600 * MS).contains(&failed), "its window, less two connect time-outs, is over");
 }
+
+#[test]
+fn with_very_many_functions_waiting_each_is_looked_over_in_its_turn() {
+    let mut b = Bench::new(of(Effect::Safe));
+    b.ready(1);
+    // One load after the other is all that the window allows, and every function has a call waiting.
+    let functions = 600;
+    let mut actions = Vec::new();
+    for f in 0..functions {
+        actions.extend(b.call(f + 1, f, 0, 60_000 * MS));
+    }
+    let asked = |a: &Action| match a {
+        Action::Load { function, .. } => Some(*function),
+        _ => None,
+    };
+    // Whatever was ordered or asked is never answered: only a look can ask again, once the usual load time is over.
+    let mut again = std::collections::BTreeMap::<FunctionId, Time>::new();
+    let began = b.now;
+    while b.now.since(began) < 3 * SECOND {
+        let now = b.now;
+        for f in b.wait(20 * MS).iter().filter_map(asked) {
+            again.entry(f).or_insert(now);
+        }
+    }
+    assert!(again.len() as u64 >= functions - 4, "{} of {functions} were looked over", again.len());
+    let last = again.values().max().expect("some").since(began);
+    assert!(last < SECOND, "within a load time and the turns that it takes: {last}");
+}
