--- a/benches/cost/src/grown.rs
+++ b/benches/cost/src/grown.rs
@@ -60,7 +60,7 @@
     for functions in [1, 50, 1_000] {
         for count in [4, 400] {
             let standing = workers(&["--delay", "5", "--ports", &count.to_string()])?;
-            for open in [20_000] {
+            for open in [16, 256, 2_000, 20_000] {
                 let gated = gateway_of(a, &standing.ports(), functions, 1)?;
                 let span = Duration::from_secs(a.seconds);
                 let (target, load) = (gated.1, Load { open, rate: None, span: SETTLE + span, functions });
