--- a/src/rules.rs
+++ b/src/rules.rs
@@ -965,8 +965,8 @@
             heads.extend(self.functions.get(&fid).and_then(|f| f.line.first()).map(|t| (*t, fid)));
         }
         heads.sort();
-        // EXCEPTION: no more than so many functions at one look, in turns: else, with very many, it lasts until
-        // after the next is due, and nothing else is done. Harm: some are looked over later.
+        // EXCEPTION: no more than so many functions at one look, in turns. With very many it would last until
+        // after the next is due, and nothing else be done. Harm: some are looked over later.
         let (n, skip) = (heads.len(), if heads.len() > SWEPT { self.swept % heads.len() } else { 0 });
         self.swept = skip + SWEPT;
         let turns = heads.into_iter().cycle().skip(skip).take(n.min(SWEPT));
