A list that fails at once is shown to be asked for seldom

The table of what may spin in docs/design/orders-in-vain.md had no test for the list: 5 s of failures answered at once lead to between 5 and 20 askings with ask_within at 1 s.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -741,3 +741,24 @@
     let last = again.values().max().expect("some").since(began);
     assert!(last < SECOND, "within a load time and the turns that it takes: {last}");
 }
+
+#[test]
+fn a_list_that_fails_at_once_is_asked_for_seldom() {
+    let set = Settings { list_pushed: false, ask_within: SECOND, ..of(Effect::Safe) };
+    let mut b = Bench::new(set);
+    b.ready(1);
+    let (mut asked, mut todo) = (0, Vec::new());
+    while b.now < Time(5_000 * MS) {
+        b.now = b.now.plus(10 * MS);
+        todo.extend(b.tell(Event::Timer { token: 0 }));
+        while let Some(a) = todo.pop() {
+            if matches!(a, Action::Subscribe | Action::FetchList) {
+                asked += 1;
+                assert!(asked < 1_000, "asked at the loop's speed");
+                todo.extend(b.list(ListKind::Failed, Vec::new()));
+            }
+        }
+    }
+    // At most once a quarter of the time within which it is to be asked for, and never not.
+    assert!((5..=20).contains(&asked), "{asked} in 5 s");
+}
