--- a/decide/front/src/lib.rs
+++ b/decide/front/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`ledger`]: the open calls and their attempts, the timers, the guards of the rules.
 //! - [`outcome`]: what a socket showed, and whether the attempt can have run.
 //! - [`account`]: what was taken, answered and sent; it must balance.
+//! - [`lacking`]: workers whose orders leave nothing, and when the operator is told.
 //! - [`ids`]: names to the module's numbers.
 //! - [`record`]: inputs and commands as lines, and their replay.
 
