One writer within flow control serves the front and the stand-in worker

The loop that sends as far as the other side takes stood twice, polled in net/front/clients.rs and awaited in the stand-in's serve.rs. It is `poll_write` of net/grpc/server.rs now. Behaviour is as before: the whole-path tests pass, slow readers and flow control among them, unchanged.

--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -17,7 +17,7 @@
 use tansy_inference::inference as pb;
 use tansy_inference::names;
 use tansy_inference::scan;
-use tansy_net_grpc::server::{head, refuse, trailers, BadStream, Handler, Messages};
+use tansy_net_grpc::server::{head, poll_write, refuse, trailers, BadStream, Handler, Messages};
 use tansy_net_grpc::within;
 
 /// Calls that may be open on one stream; its further requests are not read until one ends.
@@ -341,16 +341,9 @@
                 None => return Ok(true),
             }
         }
-        send.reserve_capacity(writing.len());
-        if send.capacity() == 0 {
-            match send.poll_capacity(cx) {
-                Poll::Pending => return Ok(false),
-                Poll::Ready(Some(Ok(_))) if send.capacity() > 0 => {}
-                Poll::Ready(Some(Ok(_))) => continue,
-                Poll::Ready(_) => return Err(()),
-            }
+        match poll_write(send, writing, cx) {
+            Poll::Pending => return Ok(false),
+            Poll::Ready(sent) => sent.map_err(drop)?,
         }
-        let part = writing.split_to(send.capacity().min(writing.len()));
-        send.send_data(part, false).map_err(drop)?;
     }
 }
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -7,7 +7,7 @@
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use h2::server::SendResponse;
-use h2::RecvStream;
+use h2::{RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Request, Response};
 use socket2::{Domain, Protocol, Type};
 use std::cell::{Cell, RefCell};
@@ -334,6 +334,29 @@
     }
 }
 
+/// Sends bytes as far as the other side takes them, which are then taken off; ready when all are sent. An error: it has
+/// gone.
+pub fn poll_write(
+    send: &mut SendStream<Bytes>,
+    bytes: &mut Bytes,
+    cx: &mut std::task::Context<'_>,
+) -> Poll<Result<(), h2::Error>> {
+    while !bytes.is_empty() {
+        send.reserve_capacity(bytes.len());
+        if send.capacity() == 0 {
+            match std::task::ready!(send.poll_capacity(cx)) {
+                Some(Ok(_)) if send.capacity() > 0 => {}
+                Some(Ok(_)) => continue,
+                Some(Err(e)) => return Poll::Ready(Err(e)),
+                None => return Poll::Ready(Err(h2::Reason::CANCEL.into())),
+            }
+        }
+        let part = bytes.split_to(send.capacity().min(bytes.len()));
+        send.send_data(part, false)?;
+    }
+    Poll::Ready(Ok(()))
+}
+
 /// Response headers of gRPC.
 pub fn head() -> Response<()> {
     let mut response = Response::new(());
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -21,7 +21,7 @@
 use tansy_inference::names;
 use tansy_inference::orca::OrcaLoadReport;
 use tansy_inference::scan;
-use tansy_net_grpc::server::{head, refuse, trailers, Limits, Messages, Server};
+use tansy_net_grpc::server::{head, poll_write, refuse, trailers, Limits, Messages, Server};
 use tansy_net_grpc::{side, within, Spawner};
 
 /// A stand-in worker on a listener.
@@ -519,19 +519,5 @@
 
 /// Sends as the other side takes it; false: it has gone.
 async fn write(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> bool {
-    while !bytes.is_empty() {
-        send.reserve_capacity(bytes.len());
-        if send.capacity() == 0 {
-            match poll_fn(|cx| send.poll_capacity(cx)).await {
-                Some(Ok(_)) if send.capacity() > 0 => {}
-                Some(Ok(_)) => continue,
-                _ => return false,
-            }
-        }
-        let part = bytes.split_to(send.capacity().min(bytes.len()));
-        if send.send_data(part, false).is_err() {
-            return false;
-        }
-    }
-    true
+    poll_fn(|cx| poll_write(send, &mut bytes, cx)).await.is_ok()
 }
