--- a/benches/cost/src/client.rs
+++ b/benches/cost/src/client.rs
@@ -15,7 +15,7 @@
 use tansy_inference::inference as pb;
 use tansy_net_grpc::exchange::{Ending, Exchange, News};
 use tansy_net_grpc::link::{Limits, Link};
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::Spawner;
 
 /// Connections that the calls are spread over.
 const CONNECTIONS: usize = 8;
--- a/benches/cost/src/worker.rs
+++ b/benches/cost/src/worker.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 use tansy_frames::grpc::{frame, Code};
 use tansy_inference::{inference as pb, names};
-use tansy_net_grpc::server::{head, listen, trailers, Limits, Messages, Server};
-use tansy_net_grpc::Spawner;
+use tansy_net_grpc::server::{head, trailers, Limits, Messages, Server};
+use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::Spawner;
 
 /// Serves `ports` ports, the first of them told as `grpc`, all as `all`; each answer to a call takes `delay`.
 pub fn run(silent: bool, delay: Duration, ports: usize) -> Result<(), crate::Error> {
--- a/decide/front/benches/run/mod.rs
+++ b/decide/front/benches/run/mod.rs
@@ -93,6 +93,7 @@
             budget: None,
             hint: None,
             repeat: false,
+            shape: None,
         };
         self.step(Input::Call(call));
     }
--- a/decide/front/src/ids.rs
+++ b/decide/front/src/ids.rs
@@ -57,6 +57,10 @@
     pub fn forget(&mut self, id: u64) {
         self.by_id.remove(&id);
     }
+    /// Lets all names go whose numbers are not wanted.
+    pub fn retain(&mut self, wanted: impl Fn(u64) -> bool) {
+        self.by_id.retain(|id, _| wanted(*id));
+    }
     /// How many names are held.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -27,6 +27,11 @@
 const RESERVE_LEAST: Span = 2 * TICK;
 /// How long trailers may lag behind the last piece before their attempt is withdrawn.
 const TRAILERS_WITHIN: Span = SECOND;
+/// How often names of what is gone or no longer called are looked for.
+const TIDY: Span = SECOND;
+/// Idle lives over which a function may stay uncalled, and how much longer its name is kept than the module keeps it.
+const FORGET: Span = 4;
+const FORGET_LATER: Span = 5 * SECOND;
 /// A probe may take so many connect time-outs.
 const PROBE_TIMEOUTS: Span = 2;
 
@@ -55,6 +60,17 @@
     pub versions: Vec<String>,
 }
 
+/// What a call tells of its function, where functions are not named in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shape {
+    /// Calls that one instance runs at a time.
+    pub lanes: u32,
+    /// Memory of one instance, MB.
+    pub memory_mb: f64,
+    /// Usual time of a load, microseconds, if told.
+    pub load_time: Option<Span>,
+}
+
 /// What a front is made of.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -91,6 +107,9 @@
     pub hint: Option<Span>,
     /// The client marked it as a repeat.
     pub repeat: bool,
+    /// What it tells of its function; a function that the settings don't name is learned from it.
+    #[serde(default)]
+    pub shape: Option<Shape>,
 }
 
 /// One line of a list of workers.
@@ -388,6 +407,11 @@
     now: Time,
     functions: Names,
     specs: HashMap<FunctionId, FunctionSpec>,
+    /// Functions learned from calls, and when they were last called, sent, ordered or heard of.
+    learned: HashMap<FunctionId, Time>,
+    next_tidy: Time,
+    /// Orders that a guard held back; the module hears of their end.
+    unsent: Vec<(WorkerId, FunctionId)>,
     workers: Names,
     states: BTreeMap<WorkerId, WorkerState>,
     started: BTreeMap<WorkerId, Time>,
@@ -442,6 +466,9 @@
             now,
             functions,
             specs,
+            learned: HashMap::new(),
+            next_tidy: now,
+            unsent: Vec::new(),
             workers: Names::default(),
             states: BTreeMap::new(),
             started: BTreeMap::new(),
@@ -526,6 +553,73 @@
                 self.timers.set(self.now.plus(within).0, Due::Close);
             }
         }
+        while let Some((worker, function)) = self.unsent.pop() {
+            let outcome = Outcome::NotSent;
+            self.tell(Event::OrderDone { worker, function, outcome, latency: 0, instances: 0 }, out);
+        }
+        if self.now >= self.next_tidy {
+            self.next_tidy = self.now.plus(TIDY);
+            self.tidy();
+        }
+    }
+
+    /// Forgets learned functions that the module has forgotten, and workers that are gone and have nothing out.
+    fn tidy(&mut self) {
+        let settings = &self.config.settings;
+        let long = settings.idle_life.saturating_mul(FORGET).max(settings.order_timeout) + FORGET_LATER;
+        let mut busy: BTreeSet<u64> = self.calls.values().map(|c| c.function.0).collect();
+        let mut holds: BTreeSet<u64> = self.states.keys().map(|w| w.0).collect();
+        holds.extend(self.calls.values().filter_map(|c| c.attempt.as_ref()).map(|a| a.worker.0));
+        for o in self.order_list.values() {
+            busy.insert(o.function.0);
+            holds.insert(o.worker.0);
+        }
+        let now = self.now;
+        let (functions, specs, believed) = (&mut self.functions, &mut self.specs, &mut self.believed);
+        self.learned.retain(|f, last| {
+            let stays = busy.contains(&f.0) || now.since(*last) < long;
+            if !stays {
+                functions.forget(f.0);
+                specs.remove(f);
+                believed.remove(f);
+            }
+            stays
+        });
+        self.workers.retain(|id| holds.contains(&id));
+    }
+
+    /// The function of a call: one of the settings, or one that calls have told of.
+    fn function_of(&mut self, call: &Call) -> Option<FunctionId> {
+        let known = self.functions.find(&call.function).map(FunctionId);
+        let Some(shape) = call.shape else { return known };
+        let id = match known {
+            Some(id) => id,
+            None => FunctionId(self.functions.take(&call.function).ok()?),
+        };
+        if known.is_none() || self.learned.contains_key(&id) {
+            self.learned.insert(id, self.now);
+            let spec = self.specs.entry(id).or_insert_with(|| FunctionSpec {
+                name: call.function.clone(),
+                class: 0,
+                lanes: shape.lanes,
+                memory_mb: shape.memory_mb,
+                load_time: shape.load_time,
+                versions: Vec::new(),
+            });
+            (spec.lanes, spec.memory_mb, spec.load_time) = (shape.lanes, shape.memory_mb, shape.load_time);
+        }
+        Some(id)
+    }
+
+    fn used(&mut self, function: FunctionId) {
+        if let Some(last) = self.learned.get_mut(&function) {
+            *last = self.now;
+        }
+    }
+
+    /// Functions and workers whose names are held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.functions.len(), self.workers.len())
     }
 
     // ---- To the module and back ----
@@ -671,7 +765,7 @@
         if self.calls.contains_key(&id) {
             return;
         }
-        let spec = self.functions.find(&call.function).and_then(|f| self.specs.get(&FunctionId(f)));
+        let spec = self.function_of(&call).and_then(|f| self.specs.get(&f));
         let Some(spec) = spec else {
             self.account.unknown += 1;
             out.push(Command::Answer { call: id, answer: Answer::Unknown });
@@ -793,6 +887,7 @@
         };
         c.last_end = Some(outcome);
         let (function, answered, began) = (c.function, c.answered, a.began);
+        self.used(function);
         self.account.ends[place(outcome)] += 1;
         if outcome == Outcome::Served {
             self.believed.entry(function).or_default().warm_at = Some(self.now);
@@ -918,8 +1013,12 @@
             // Rule 3 for orders, and an order that nobody takes must end for the module.
             self.account.guarded += 1;
             debug_assert!(ready, "an order to {worker:?}, which takes none");
+            if kind == OrderKind::Load {
+                self.unsent.push((worker, function));
+            }
             return;
         };
+        self.used(function);
         let order = OrderId(self.next_order);
         self.next_order += 1;
         let span = if kind == OrderKind::Probe { PROBE_TIMEOUTS * connect } else { limit };
@@ -959,6 +1058,7 @@
             _ => verdict(seen, &told).outcome,
         };
         let latency = self.now.since(o.sent);
+        self.used(o.function);
         match o.kind {
             OrderKind::Probe => {
                 let report = told.report.map(Report::into);
--- a/decide/front/src/outcome.rs
+++ b/decide/front/src/outcome.rs
@@ -12,6 +12,7 @@
 //! | connection cut after the last piece, before the trailers | `ConnectionLost` | yes; the call is served |
 //! | any status with the trailer `tansy-never-ran: turned-away` | `TurnedAway` | no: the worker's promise |
 //! | any status with the trailer `tansy-never-ran: not-loaded` | `NotLoaded` | no: the worker's promise |
+//! | any status with the promise that its time was over before it was begun | `NotSent` | no: the worker's promise |
 //! | status OK with an answer | `Served` | yes |
 //! | a status that is the function's own verdict on the call (below) | `Error`, passed on as it is | yes |
 //! | any other status, trailers-only or not | `Error` | yes |
@@ -133,6 +134,8 @@
     NotLoaded,
     /// It was turned away unseen.
     TurnedAway,
+    /// Its time was over before it was begun.
+    Expired,
 }
 
 /// How the call met its function.
@@ -215,6 +218,9 @@
             (Some(NeverRan::TurnedAway), Stage::Nothing | Stage::Headers) if code != 0 => {
                 (Outcome::TurnedAway, false)
             }
+            (Some(NeverRan::Expired), Stage::Nothing | Stage::Headers) if code != 0 => {
+                (Outcome::NotSent, false)
+            }
             (_, Stage::Pieces | Stage::Last) if code == 0 => (Outcome::Served, false),
             _ => (Outcome::Error, OWN_VERDICTS.contains(&code)),
         },
@@ -282,7 +288,7 @@
 
     #[test]
     fn a_promise_counts_only_with_an_error_and_before_any_piece() {
-        for promise in [NeverRan::NotLoaded, NeverRan::TurnedAway] {
+        for promise in [NeverRan::NotLoaded, NeverRan::TurnedAway, NeverRan::Expired] {
             let told = Told { never_ran: Some(promise), ..Told::default() };
             for stage in STAGES {
                 let early = matches!(stage, Stage::Nothing | Stage::Headers);
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -139,6 +139,7 @@
                     budget,
                     hint: None,
                     repeat: false,
+                    shape: None,
                 };
                 self.step(front, Input::Call(call));
             }
@@ -272,6 +273,7 @@
         budget: Some(budget),
         hint: None,
         repeat: false,
+        shape: None,
     })
 }
 
--- a/drill/src/table.rs
+++ b/drill/src/table.rs
@@ -1,11 +1,12 @@
 //! The table of instances: one router each, with its own names of workers and functions.
 
-use crate::wire::{Conf, Entry, Line, Reply};
+use crate::wire::{Entry, Line, Reply};
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::io::Write;
+use tansy_conf::{settings, span};
 use tansyrouter as t;
-use tansyrouter::{Action, Event, FunctionId, RequestId, Router, Span, Time, WorkerId};
+use tansyrouter::{Action, Event, FunctionId, RequestId, Router, Time, WorkerId};
 
 struct Instance {
     router: Router,
@@ -73,22 +74,7 @@
 
     fn report(&self, row: Option<Vec<Option<f64>>>) -> Option<t::LoadReport> {
         let row = row?;
-        let mut report = t::LoadReport::default();
-        for (name, value) in self.fields.iter().zip(row) {
-            let slot = match name.as_str() {
-                "depth" => &mut report.queued,
-                "concurrent" => &mut report.held,
-                "load_share" => &mut report.busy,
-                "x0" => &mut report.memory_pinned,
-                "x1" => &mut report.loads,
-                "mean_ms" => &mut report.mean_ms,
-                "tps" => &mut report.served_per_s,
-                "err_ps" => &mut report.errors_per_s,
-                _ => continue,
-            };
-            *slot = value;
-        }
-        Some(report)
+        Some(tansy_conf::report(self.fields.iter().map(String::as_str).zip(row)))
     }
 }
 
@@ -102,10 +88,6 @@
     scratch: Vec<Action>,
 }
 
-fn span(seconds: f64) -> Span {
-    (seconds * 1e6).round() as Span
-}
-
 fn seconds(span: i64) -> f64 {
     span as f64 / 1e6
 }
@@ -298,76 +280,3 @@
         share: e.share,
     })
 }
-
-fn settings(c: &Conf) -> Result<t::Settings, String> {
-    let class = |k: &crate::wire::Class| {
-        let group = match k.group.as_str() {
-            "zone" => t::Group::Zone,
-            "cell" => t::Group::Cell,
-            _ => t::Group::All,
-        };
-        let effect = match k.effect.as_str() {
-            "read_like" => t::Effect::Safe,
-            "idempotency_key" => t::Effect::Keyed { group, window: span(k.repeat_window_s) },
-            "non_idempotent" => t::Effect::Unsafe,
-            other => return Err(format!("effect {other:?} is unknown")),
-        };
-        Ok(t::Class {
-            aim: span(k.aim_s),
-            aim_stretch: k.aim_stretch,
-            deadline: span(k.deadline_s),
-            effect,
-            worth: k.gain,
-            late_worth: k.late_worth,
-            streamed: k.streamed,
-        })
-    };
-    let (l, r, s, base) = (&c.policy_limits, &c.rules, &c.specifics, t::Settings::default());
-    let tenant = |n: &crate::wire::Tenant| t::Tenant { quota_per_s: n.quota_per_s, fraction: n.fraction };
-    Ok(t::Settings {
-        me: c.me,
-        siblings: c.siblings,
-        zone: c.locality,
-        classes: c.classes.iter().map(class).collect::<Result<_, String>>()?,
-        tenants: c.tenants.iter().map(tenant).collect(),
-        over_quota_worth: c.over_share_worth,
-        worth_by_work: c.value_by == "work",
-        list_pushed: c.discovery != "on_request",
-        ask_within: span(r.ask_within_s),
-        may_cancel: l.cancel,
-        may_probe: l.probes,
-        may_order: s.orders,
-        may_double: l.second_copies,
-        max_attempts: l.max_attempts.unwrap_or(base.max_attempts),
-        max_held: l.most_held.unwrap_or(base.max_held),
-        max_stay_away: if l.retry_after { span(l.max_retry_after_s) } else { 0 },
-        connect_timeout: span(l.connect_timeout_s),
-        when_absent: if s.when_absent == "miss" { t::WhenAbsent::Miss } else { t::WhenAbsent::Load },
-        idle_life: span(s.idle_life_s),
-        order_timeout: span(s.load_wait_s),
-        ration: (s.load_period_s > 0.0).then(|| t::Ration {
-            free: s.load_free,
-            part: s.load_part,
-            period: span(s.load_period_s),
-        }),
-        tells_warm: s.says_warm,
-        tells_crowd: s.tells_crowd,
-        reports: match c.telemetry.how.as_str() {
-            "piggyback" => t::Reports::Attached,
-            "pull" => t::Reports::Pulled,
-            _ => t::Reports::Absent,
-        },
-        kind_memory_mb: s.kind_memory_mb.clone(),
-        cross_zone_price: c.prices.cross_zone,
-        fetch_price: c.prices.origin,
-        idle_price: s.price_of_idle,
-        probe_price: c.prices.probe,
-        cold_from: r.cold_from,
-        warm_up: span(r.warm_up_s),
-        fall_multiple: r.fall_multiple,
-        fall_after: span(r.fall_s),
-        drain_grace: span(r.drain_grace_s),
-        answer_slack: span(r.answer_slack_s),
-        tick: span(c.tick_s),
-    })
-}
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,6 +1,7 @@
 //! The wire's lines as types. Absent optional values take the wire page's defaults.
 
 use serde::{Deserialize, Serialize};
+use tansy_conf::Conf;
 
 #[derive(Deserialize)]
 #[serde(tag = "kind")]
@@ -133,124 +134,6 @@
     1.0
 }
 
-#[derive(Deserialize)]
-pub struct Conf {
-    #[serde(default)]
-    pub me: usize,
-    #[serde(default = "one_usize")]
-    pub siblings: usize,
-    #[serde(default)]
-    pub locality: usize,
-    pub classes: Vec<Class>,
-    #[serde(default)]
-    pub tenants: Vec<Tenant>,
-    #[serde(default)]
-    pub over_share_worth: f64,
-    #[serde(default)]
-    pub value_by: String,
-    #[serde(default)]
-    pub discovery: String,
-    #[serde(default)]
-    pub policy_limits: Limits,
-    #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
-    pub rules: Rules,
-    #[serde(default)]
-    pub specifics: Specifics,
-    #[serde(default)]
-    pub telemetry: Telemetry,
-    #[serde(default)]
-    pub tick_s: f64,
-}
-
-fn one_usize() -> usize {
-    1
-}
-
-#[derive(Deserialize)]
-pub struct Class {
-    pub aim_s: f64,
-    #[serde(default)]
-    pub aim_stretch: f64,
-    pub deadline_s: f64,
-    pub effect: String,
-    #[serde(default)]
-    pub group: String,
-    #[serde(default)]
-    pub repeat_window_s: f64,
-    #[serde(default = "one")]
-    pub gain: f64,
-    #[serde(default)]
-    pub late_worth: f64,
-    #[serde(default)]
-    pub streamed: bool,
-}
-
-#[derive(Deserialize)]
-pub struct Tenant {
-    #[serde(default)]
-    pub fraction: f64,
-    #[serde(default)]
-    pub quota_per_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Limits {
-    pub cancel: bool,
-    pub connect_timeout_s: f64,
-    pub max_attempts: Option<u32>,
-    pub max_retry_after_s: f64,
-    pub most_held: Option<usize>,
-    pub probes: bool,
-    pub retry_after: bool,
-    pub second_copies: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Prices {
-    pub cross_zone: f64,
-    pub origin: f64,
-    pub probe: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Rules {
-    pub answer_slack_s: f64,
-    pub ask_within_s: f64,
-    pub cold_from: f64,
-    pub drain_grace_s: f64,
-    pub fall_multiple: f64,
-    pub fall_s: f64,
-    pub warm_up_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Specifics {
-    pub idle_life_s: f64,
-    pub kind_memory_mb: Vec<f64>,
-    pub load_free: f64,
-    pub load_part: f64,
-    pub load_period_s: f64,
-    pub load_wait_s: f64,
-    pub orders: bool,
-    pub price_of_idle: f64,
-    pub says_warm: bool,
-    pub tells_crowd: bool,
-    pub when_absent: String,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Telemetry {
-    pub fields: Vec<String>,
-    pub how: String,
-}
-
 #[derive(Serialize)]
 #[serde(tag = "kind")]
 pub enum Reply<'a> {
--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -18,7 +18,7 @@
 use tansy_inference::names;
 use tansy_inference::scan;
 use tansy_net_grpc::server::{head, poll_write, refuse, trailers, BadStream, Handler, Messages};
-use tansy_net_grpc::within;
+use tansy_net_sockets::within;
 
 /// Calls that may be open on one stream; its further requests are not read until one ends.
 const CALLS_A_STREAM: usize = 4096;
@@ -141,6 +141,7 @@
             budget,
             hint: hint.filter(|h| *h > 0).map(|h| h.saturating_mul(1000)),
             repeat,
+            shape: None,
         }
     }
 
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -18,7 +18,7 @@
 use tansy_inference::{amend, scan};
 use tansy_net_grpc::link::{Limits as LinkLimits, Link};
 use tansy_net_grpc::server::Limits;
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::Spawner;
 use tansyrouter::Time;
 
 /// Metadata keys, and request parameters of the same names, in which a call tells what it is.
--- a/net/grpc/src/io.rs
+++ b/net/grpc/src/io.rs
@@ -1,6 +1,5 @@
 //! A socket on the loop with the traits that the HTTP/2 library wants, and taps on what passes.
 
-use crate::socket::Socket;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -8,6 +7,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tansy_frames::tap::{kind, Frame, Tap, END_STREAM};
+use tansy_net_sockets::socket::Socket;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// What has passed on one stream of a client's connection.
--- a/net/grpc/src/link.rs
+++ b/net/grpc/src/link.rs
@@ -1,11 +1,8 @@
 //! A link to one server: one connection, made when it is first needed and made anew after it ended.
 
 use crate::io::{ends, Wire};
-use crate::socket::Socket;
-use crate::{Spawner, Yield};
 use bytes::Bytes;
 use h2::client::SendRequest;
-use socket2::{Domain, Protocol, Type};
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
@@ -14,6 +11,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use tansy_net_sockets::socket::Socket;
+use tansy_net_sockets::{Spawner, Yield};
 
 /// Bounds of a link's connection.
 #[derive(Clone, Copy, Debug)]
@@ -156,20 +155,8 @@
     }
 
     async fn connect(&self) -> io::Result<(Connection, impl Future<Output = ()>)> {
-        let domain = if self.address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
-        let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        if let Err(e) = socket.connect(&self.address.into()) {
-            if e.raw_os_error() != Some(IN_PROGRESS) {
-                return Err(e);
-            }
-        }
-        let socket = Socket::new(self.spawner.handle(), std::net::TcpStream::from(socket))?;
-        std::future::poll_fn(|cx| socket.poll_writable(cx)).await;
-        if let Some(e) = socket.get().take_error()? {
-            return Err(e);
-        }
+        let socket = Socket::connect(self.spawner.handle(), self.address)?;
+        std::future::poll_fn(|cx| socket.poll_connected(cx)).await?;
         let wire = Rc::new(RefCell::new(Wire::default()));
         let (io, flusher) = ends(socket, Some(wire.clone()));
         let handshake = h2::client::Builder::new()
@@ -219,9 +206,6 @@
     }
 }
 
-/// EINPROGRESS, which the standard library has no kind for.
-const IN_PROGRESS: i32 = 115;
-
 fn usable(c: &Connection) -> bool {
     let w = c.wire.borrow();
     !w.cut && !w.abort && w.goaway.is_none()
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -1,24 +1,23 @@
 //! Listeners, connections of clients, and the messages that they send.
 
 use crate::io::{ends, Flusher, Io};
-use crate::socket::Socket;
-use crate::{within, Spawner, Yield};
 use bytes::Bytes;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Request, Response};
-use socket2::{Domain, Protocol, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
 use tansy_frames::grpc::{encode_message, Assembler, BadFrame, Code};
+use tansy_net_sockets::socket::Socket;
+use tansy_net_sockets::{within, Spawner, Yield};
 
 /// Bounds of what clients may do.
 #[derive(Clone, Copy, Debug)]
@@ -71,20 +70,6 @@
     resume: RefCell<Option<calloop::ping::Ping>>,
 }
 
-/// A listening socket; `shared` lets several processes take connections from one port.
-pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    let domain = if address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
-    let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    if shared {
-        socket.set_reuse_port(true)?;
-    }
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(4096)?;
-    Ok(socket.into())
-}
-
 impl Server {
     /// Serves the connections of a listener, each request by the handler.
     pub fn start(
--- a/net/grpc/src/side.rs
+++ b/net/grpc/src/side.rs
@@ -1,7 +1,5 @@
 //! A small HTTP/1.1 side port: `GET` of a path, answered with a line of text.
 
-use crate::socket::Socket;
-use crate::{within, Spawner};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use std::future::poll_fn;
@@ -9,6 +7,8 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
+use tansy_net_sockets::socket::Socket;
+use tansy_net_sockets::{within, Spawner};
 
 /// Bytes of one request's head.
 const HEAD: usize = 8 * 1024;
--- /dev/null
+++ b/net/platform/src/clients.rs
@@ -0,0 +1,429 @@
+//! The listener, and one task for each client's connection: a request at a time, in the page's exact form, answered or
+//! turned away within the page's times.
+
+use crate::hub::Hub;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::poll_fn;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tansy_http1::{Limits, Message, Reader};
+use tansy_net_sockets::{socket::Socket, within};
+use tansy_platform::call::{Asked, BadCall};
+use tansyrouter::Span;
+
+/// Bounds of one request: the page's 16 KiB of body, and a head well over any honest one.
+const REQUEST: Limits = Limits { head: 4 * 1024, body: 16 * 1024 };
+/// A connection's first request is whole by then: the page's 3 s, less the way of the answer.
+const FIRST_WITHIN: Duration = Duration::from_millis(2300);
+/// A request is whole so long after its first byte.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2000);
+/// A connection may be idle for so long: the page's 4 s, and the way of the client's close.
+const IDLE: Duration = Duration::from_millis(5500);
+/// A client takes its answer in this time.
+const TAKEN_WITHIN: Duration = Duration::from_millis(1000);
+/// What a client that was turned away still sends is read for so long, so that its answer is not reset away.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes read in one turn of the loop from one connection.
+const SHARE: usize = 16 * 1024;
+/// Connections accepted in one turn.
+const ACCEPTS: usize = 16;
+/// With no descriptor left, the listener rests so long.
+const REST: Duration = Duration::from_millis(20);
+
+/// A call's final answer on its way to its client's task.
+#[derive(Default)]
+pub struct Slot {
+    answer: RefCell<Option<(u16, Span, Vec<u8>)>>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Slot {
+    /// Gives the answer: status, advice to stay away (microseconds; 0: none) and body.
+    pub fn give(&self, status: u16, stay_away: Span, body: Vec<u8>) {
+        *self.answer.borrow_mut() = Some((status, stay_away, body));
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+    fn poll(&self, cx: &Context<'_>) -> Poll<(u16, Span, Vec<u8>)> {
+        if let Some(answer) = self.answer.borrow_mut().take() {
+            return Poll::Ready(answer);
+        }
+        *self.waker.borrow_mut() = Some(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// What a connection is at, for choosing which to shed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It has never sent a byte.
+    Silent,
+    /// It has been answered and waits for its next request.
+    Idle,
+    /// Anything else.
+    Busy,
+}
+
+struct Client {
+    phase: Cell<Phase>,
+    shed: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// The listener and its connections.
+pub struct Clients {
+    hub: Rc<Hub>,
+    open: RefCell<BTreeMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    shedding: Cell<usize>,
+    resting: Cell<bool>,
+    closed: Cell<bool>,
+    token: Cell<Option<RegistrationToken>>,
+}
+
+impl Clients {
+    /// Serves a listener.
+    pub fn start(hub: Rc<Hub>, listener: TcpListener) -> io::Result<Rc<Clients>> {
+        listener.set_nonblocking(true)?;
+        let clients = Rc::new(Clients {
+            hub: hub.clone(),
+            open: RefCell::new(BTreeMap::new()),
+            next: Cell::new(0),
+            shedding: Cell::new(0),
+            resting: Cell::new(false),
+            closed: Cell::new(false),
+            token: Cell::new(None),
+        });
+        let source = Generic::new(listener, Interest::READ, Mode::Level);
+        let inner = clients.clone();
+        let token = hub.spawner.handle().insert_source(source, move |_, listener, ()| {
+            Ok(if inner.accept(listener) { PostAction::Continue } else { PostAction::Disable })
+        });
+        clients.token.set(Some(token.map_err(|e| io::Error::other(e.to_string()))?));
+        Ok(clients)
+    }
+
+    /// Connections that are open.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+    /// Takes no new connection, and no new request on those that wait for one.
+    pub fn close(&self) {
+        self.closed.set(true);
+        if let Some(token) = self.token.take() {
+            self.hub.spawner.handle().remove(token);
+        }
+        let open: Vec<_> = self.open.borrow().values().cloned().collect();
+        open.iter().filter(|c| c.phase.get() != Phase::Busy).for_each(|c| shed(c));
+    }
+
+    /// Accepts what waits; false: the listener rests.
+    fn accept(self: &Rc<Self>, listener: &TcpListener) -> bool {
+        for _ in 0..ACCEPTS {
+            if self.len() >= self.hub.setup.clients + self.shedding.get() && !self.make_room() {
+                return self.rest();
+            }
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    let _ = socket.set_nodelay(true);
+                    let Ok(socket) = Socket::new(self.hub.spawner.handle(), socket) else {
+                        return self.rest();
+                    };
+                    self.serve(socket);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                // No descriptor left: a readable listener must not turn the loop meanwhile.
+                Err(e) => {
+                    tracing::warn!(error = %e, "accepting rests");
+                    self.make_room();
+                    return self.rest();
+                }
+            }
+        }
+        true
+    }
+
+    /// Sheds a connection: the oldest that never sent a byte, else the oldest idle one.
+    fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let of = |phase| open.values().find(|c| c.phase.get() == phase && !c.shed.get());
+        let Some(client) = of(Phase::Silent).or_else(|| of(Phase::Idle)) else { return false };
+        self.shedding.set(self.shedding.get() + 1);
+        shed(client);
+        true
+    }
+
+    fn rest(self: &Rc<Self>) -> bool {
+        if !self.resting.replace(true) {
+            let clients = self.clone();
+            self.hub.spawner.spawn(async move {
+                clients.hub.spawner.sleep(REST).await;
+                clients.resting.set(false);
+                if let Some(token) = clients.token.get() {
+                    // Fails only for a source that is not there.
+                    let _ = clients.hub.spawner.handle().enable(&token);
+                }
+            });
+        }
+        false
+    }
+
+    fn serve(self: &Rc<Self>, socket: Socket) {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let client =
+            Client { phase: Cell::new(Phase::Silent), shed: Cell::new(false), waker: RefCell::new(None) };
+        let client = Rc::new(client);
+        self.open.borrow_mut().insert(id, client.clone());
+        let clients = self.clone();
+        self.hub.spawner.spawn(async move {
+            Connection { clients: clients.clone(), client: client.clone(), socket }.run().await;
+            if client.shed.get() {
+                clients.shedding.set(clients.shedding.get().saturating_sub(1));
+            }
+            clients.open.borrow_mut().remove(&id);
+        });
+    }
+}
+
+fn shed(client: &Client) {
+    client.shed.set(true);
+    client.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+}
+
+struct Connection {
+    clients: Rc<Clients>,
+    client: Rc<Client>,
+    socket: Socket,
+}
+
+/// What a request asks for.
+enum Wanted {
+    /// Whether the front end is up.
+    Alive,
+    /// A call, with its body.
+    Call(Asked, Vec<u8>),
+}
+
+/// What waiting for a request came to.
+enum Came {
+    Request { wanted: Wanted, keep: bool },
+    Bad(BadCall),
+    Gone,
+}
+
+impl Connection {
+    fn hub(&self) -> &Rc<Hub> {
+        &self.clients.hub
+    }
+
+    async fn run(self) {
+        let mut reader = Reader::requests(REQUEST);
+        let mut within_first = Some(self.hub().spawner.sleep(FIRST_WITHIN));
+        loop {
+            let came = match within_first.take() {
+                Some(limit) => within(limit, self.request(&mut reader)).await,
+                None => {
+                    // What came before its time is turned away with its request: nothing is held here.
+                    let limit = self.hub().spawner.sleep(IDLE);
+                    let first = poll_fn(|cx| self.poll_read(cx, &mut reader));
+                    if matches!(within(limit, first).await, Some(true)) {
+                        self.client.phase.set(Phase::Busy);
+                        let limit = self.hub().spawner.sleep(WHOLE_WITHIN);
+                        within(limit, self.request(&mut reader)).await
+                    } else {
+                        Some(Came::Gone)
+                    }
+                }
+            };
+            let (wanted, keep) = match came {
+                Some(Came::Request { wanted, keep }) => (wanted, keep),
+                Some(Came::Gone) => return,
+                Some(Came::Bad(bad)) => return self.turn_away(bad).await,
+                None if reader.is_empty() => return,
+                None => {
+                    return self.turn_away(BadCall { status: 408, what: "a request not whole in time" }).await
+                }
+            };
+            self.client.phase.set(Phase::Busy);
+            let (status, wait, body) = match wanted {
+                Wanted::Alive => (200, 0, Vec::new()),
+                Wanted::Call(asked, body) => {
+                    let slot = Rc::new(Slot::default());
+                    let call = self.hub().call(asked, body, &slot);
+                    match poll_fn(|cx| self.poll_answer(cx, &slot, &mut reader)).await {
+                        Answered::Answer(answer) => answer,
+                        Answered::Gone => return self.hub().left(call),
+                        Answered::More => {
+                            self.hub().left(call);
+                            let what = "a further request before the answer to the last";
+                            return self.turn_away(BadCall { status: 400, what }).await;
+                        }
+                    }
+                }
+            };
+            let keep = keep && !self.clients.closed.get();
+            let extra =
+                if wait > 0 { format!("Retry-After-Ms: {}\r\n", (wait + 999) / 1000) } else { String::new() };
+            let mut out = Vec::new();
+            tansy_http1::answer(&mut out, status, &extra, &body, keep);
+            if !self.write(&out).await {
+                return;
+            }
+            if !keep {
+                return self.linger().await;
+            }
+            self.client.phase.set(Phase::Idle);
+        }
+    }
+
+    /// Reads one piece; ready: whether there was one. A connection that is shed has none.
+    fn poll_read(&self, cx: &Context<'_>, reader: &mut Reader) -> Poll<bool> {
+        if self.client.shed.get() {
+            return Poll::Ready(false);
+        }
+        *self.client.waker.borrow_mut() = Some(cx.waker().clone());
+        let mut buffer = [0u8; 8 * 1024];
+        self.socket.poll_read(cx, &mut buffer).map(|read| match read {
+            Ok(n) => {
+                reader.take(&buffer[..n]);
+                n > 0
+            }
+            Err(_) => false,
+        })
+    }
+
+    /// Reads until a request is whole, or can't be one.
+    async fn request(&self, reader: &mut Reader) -> Came {
+        let mut share = 0;
+        poll_fn(move |cx| loop {
+            if !reader.is_empty() {
+                self.client.phase.set(Phase::Busy);
+                let read = reader.message(|m| (self.wanted(&m), m.keep));
+                let came = match read {
+                    Ok(Some((Ok(wanted), keep))) => {
+                        if reader.beyond() > 0 {
+                            Came::Bad(BadCall {
+                                status: 400,
+                                what: "a request before the answer to the last",
+                            })
+                        } else {
+                            reader.next();
+                            Came::Request { wanted, keep }
+                        }
+                    }
+                    Ok(Some((Err(bad), _))) => Came::Bad(bad),
+                    Err(bad) => {
+                        Came::Bad(BadCall { status: bad.status(), what: "not a message of the protocol" })
+                    }
+                    Ok(None) => {
+                        if share >= SHARE {
+                            // The other connections come first.
+                            share = 0;
+                            cx.waker().wake_by_ref();
+                            return Poll::Pending;
+                        }
+                        let held = reader.len();
+                        match std::task::ready!(self.poll_read(cx, reader)) {
+                            true => share += reader.len() - held,
+                            false => return Poll::Ready(Came::Gone),
+                        }
+                        continue;
+                    }
+                };
+                return Poll::Ready(came);
+            }
+            if !std::task::ready!(self.poll_read(cx, reader)) {
+                return Poll::Ready(Came::Gone);
+            }
+        })
+        .await
+    }
+
+    fn wanted(&self, m: &Message<'_>) -> Result<Wanted, BadCall> {
+        if m.method == "GET" && m.target == "/alive" {
+            return if m.body.is_empty() {
+                Ok(Wanted::Alive)
+            } else {
+                Err(BadCall { status: 400, what: "a body; want none" })
+            };
+        }
+        let asked = self.hub().setup.shapes.read(m.method, m.target, |name| m.one(name))?;
+        if self.hub().is_open(&asked.id) {
+            return Err(BadCall { status: 409, what: "X-Request-Id of a request that is open" });
+        }
+        Ok(Wanted::Call(asked, m.body.to_vec()))
+    }
+
+    /// Waits for the answer, and for a client that leaves or sends more.
+    fn poll_answer(&self, cx: &Context<'_>, slot: &Slot, reader: &mut Reader) -> Poll<Answered> {
+        if let Poll::Ready(answer) = slot.poll(cx) {
+            return Poll::Ready(Answered::Answer(answer));
+        }
+        let mut buffer = [0u8; 1024];
+        self.socket.poll_read(cx, &mut buffer).map(|read| match read {
+            Ok(n) if n > 0 => {
+                reader.take(&buffer[..n]);
+                Answered::More
+            }
+            _ => Answered::Gone,
+        })
+    }
+
+    async fn write(&self, mut bytes: &[u8]) -> bool {
+        let written = async {
+            while !bytes.is_empty() {
+                match poll_fn(|cx| self.socket.poll_write(cx, bytes)).await {
+                    Ok(n) if n > 0 => bytes = &bytes[n..],
+                    _ => return false,
+                }
+            }
+            true
+        };
+        within(self.hub().spawner.sleep(TAKEN_WITHIN), written).await.unwrap_or(false)
+    }
+
+    async fn turn_away(&self, bad: BadCall) {
+        tracing::debug!(status = bad.status, what = bad.what, "a client is turned away");
+        let mut out = Vec::new();
+        tansy_http1::answer(&mut out, bad.status, "", bad.what.as_bytes(), false);
+        if self.write(&out).await {
+            self.linger().await;
+        }
+    }
+
+    /// Ends our side, and reads what still comes for a while: closing on unread input would reset the answer away.
+    async fn linger(&self) {
+        if self.socket.shutdown().is_err() {
+            return;
+        }
+        let drained = poll_fn(|cx| {
+            let mut buffer = [0u8; SHARE];
+            match std::task::ready!(self.socket.poll_read(cx, &mut buffer)) {
+                Ok(n) if n > 0 => {
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                _ => Poll::Ready(()),
+            }
+        });
+        within(self.hub().spawner.sleep(LINGER), drained).await;
+    }
+}
+
+enum Answered {
+    Answer((u16, Span, Vec<u8>)),
+    Gone,
+    More,
+}
--- /dev/null
+++ b/net/platform/src/hub.rs
@@ -0,0 +1,400 @@
+//! The hub: gives the ledger its inputs and carries out its commands.
+
+use crate::clients::Slot;
+use crate::link::{Conn, Job, Link};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tansy_front::{Account, Answer, Call, CallId, Command, Front, Input, OrderId, Seen, Told};
+use tansy_net_sockets::Spawner;
+use tansy_platform::call::{Asked, RequestId};
+use tansy_platform::list::Change;
+use tansy_platform::Shapes;
+use tansyrouter::Time;
+
+/// Bounds that the configuration gives.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Classes and bounds of requests.
+    pub shapes: Shapes,
+    /// Answers tell of other calls.
+    pub crowd: bool,
+    /// Requests on one connection of a worker.
+    pub streams: usize,
+    /// A connection not made by then has failed.
+    pub connect_within: Duration,
+    /// A worker closes a connection that was idle for so long.
+    pub idle: Duration,
+    /// Connections of clients at once.
+    pub clients: usize,
+    /// Connections to workers at once.
+    pub workers: usize,
+}
+
+/// Descriptors that are neither clients' nor workers': the loop's own, the listener, logs, the poll, the
+/// configuration when it is read again, and connections that are accepted before those they replace are closed.
+const RESERVED: usize = 40;
+
+impl Setup {
+    /// From the configuration; descriptors beyond those reserved go to clients and workers, two to one.
+    pub fn new(config: &tansy_platform::Config) -> Setup {
+        let conf = &config.settings;
+        let span = |s: f64, least: f64| Duration::from_secs_f64(s.clamp(least, 3600.0));
+        let free = config.limits.sockets.saturating_sub(RESERVED).max(16);
+        Setup {
+            shapes: Shapes::new(conf),
+            crowd: conf.specifics.tells_crowd,
+            streams: conf.policy_limits.multiplex.unwrap_or(1).max(1),
+            connect_within: span(conf.policy_limits.connect_timeout_s, 0.02),
+            idle: span(conf.policy_limits.keepalive_s, 0.5),
+            clients: free * 2 / 3,
+            workers: free / 3,
+        }
+    }
+}
+
+/// A call on its way.
+pub struct CallIo {
+    /// Its number.
+    pub id: CallId,
+    /// What its client asked for.
+    pub asked: Asked,
+    /// The client's body, passed on as it came.
+    pub body: Vec<u8>,
+    /// Where its answer goes.
+    slot: Rc<Slot>,
+    /// Connections that its attempts went out on: an answer there is not a later attempt's.
+    used: RefCell<Vec<u64>>,
+    /// Where its attempt is.
+    at: RefCell<Option<Rc<Conn>>>,
+    /// The answer that the ledger has been told of.
+    staged: RefCell<Option<Vec<u8>>>,
+}
+
+struct State {
+    front: Front,
+    inputs: VecDeque<Input>,
+    running: bool,
+    next_call: u64,
+    calls: HashMap<CallId, Rc<CallIo>>,
+    attempts: HashMap<CallId, Rc<CallIo>>,
+    open: HashSet<RequestId>,
+    orders: HashMap<OrderId, Rc<Conn>>,
+    links: HashMap<String, Rc<Link>>,
+    addresses: HashMap<String, SocketAddr>,
+}
+
+/// One front end.
+pub struct Hub {
+    /// Starts its tasks.
+    pub spawner: Spawner,
+    /// Its bounds.
+    pub setup: Setup,
+    /// Connections to workers that stand or are being made.
+    pub worker_connections: Cell<usize>,
+    epoch: Instant,
+    state: RefCell<State>,
+}
+
+/// The Unix clock, milliseconds.
+pub fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1e3)
+}
+
+impl Hub {
+    /// A hub around a ledger that starts now.
+    pub fn new(spawner: Spawner, front: Front, setup: Setup, epoch: Instant) -> Rc<Hub> {
+        let state = RefCell::new(State {
+            front,
+            inputs: VecDeque::new(),
+            running: false,
+            next_call: 0,
+            calls: HashMap::new(),
+            attempts: HashMap::new(),
+            open: HashSet::new(),
+            orders: HashMap::new(),
+            links: HashMap::new(),
+            addresses: HashMap::new(),
+        });
+        Rc::new(Hub { spawner, setup, worker_connections: Cell::new(0), epoch, state })
+    }
+
+    /// The ledger's clock.
+    pub fn now(&self) -> Time {
+        Time(i64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(i64::MAX))
+    }
+    /// How long the loop may sleep before it has to call [`Hub::tick`].
+    pub fn sleep(&self) -> Option<Duration> {
+        let due = self.state.borrow().front.next_due()?;
+        // A little past it, so that the wheel's tick has begun.
+        Some(Duration::from_micros(due.since(self.now()).max(0) as u64 + 50))
+    }
+    /// Lets the ledger's timers run if one is due.
+    pub fn tick(self: &Rc<Self>) {
+        let due = self.state.borrow().front.next_due();
+        if due.is_some_and(|t| t <= self.now()) {
+            self.feed(Input::Tick);
+        }
+    }
+    /// Reads the ledger.
+    pub fn with_front<T>(&self, f: impl FnOnce(&Front) -> T) -> T {
+        f(&self.state.borrow().front)
+    }
+    /// The counts, and calls still open.
+    pub fn account(&self) -> (Account, u64) {
+        self.with_front(|f| (f.account().clone(), f.open() as u64))
+    }
+    /// Sizes of what is held, for logs and tests: calls, ids, orders, links.
+    pub fn held(&self) -> [usize; 4] {
+        let s = self.state.borrow();
+        [s.calls.len().max(s.attempts.len()), s.open.len(), s.orders.len(), s.links.len()]
+    }
+
+    /// Changes of the list of workers.
+    pub fn list(self: &Rc<Self>, whole: bool, changes: Vec<Change>) {
+        {
+            let mut s = self.state.borrow_mut();
+            if whole {
+                s.addresses.clear();
+            }
+            for c in &changes {
+                s.addresses.insert(c.listed.name.clone(), c.address);
+            }
+        }
+        let list: Vec<_> = changes.into_iter().map(|c| c.listed).collect();
+        let gone: Vec<String> = list.iter().filter(|l| l.state > 1).map(|l| l.name.clone()).collect();
+        self.feed(Input::Workers { whole, list });
+        let mut s = self.state.borrow_mut();
+        for name in gone {
+            s.addresses.remove(&name);
+        }
+    }
+
+    /// Whether a request of this id is open.
+    pub fn is_open(&self, id: &RequestId) -> bool {
+        self.state.borrow().open.contains(id)
+    }
+
+    /// Takes a call; its answer comes to its slot.
+    pub fn call(self: &Rc<Self>, asked: Asked, body: Vec<u8>, slot: &Rc<Slot>) -> CallId {
+        let mut s = self.state.borrow_mut();
+        s.next_call += 1;
+        let id = CallId(s.next_call);
+        let call = Call {
+            call: id,
+            function: asked.function.clone(),
+            class: Some(asked.class),
+            tenant: 0,
+            budget: Some(asked.budget),
+            hint: None,
+            repeat: false,
+            shape: Some(asked.shape),
+        };
+        s.open.insert(asked.id);
+        let io = CallIo {
+            id,
+            asked,
+            body,
+            slot: slot.clone(),
+            used: RefCell::new(Vec::new()),
+            at: RefCell::new(None),
+            staged: RefCell::new(None),
+        };
+        s.calls.insert(id, Rc::new(io));
+        drop(s);
+        self.feed(Input::Call(call));
+        id
+    }
+
+    /// The client of a call has left.
+    pub fn left(self: &Rc<Self>, call: CallId) {
+        self.close(call);
+        self.feed(Input::ClientLeft { call });
+    }
+
+    /// Lets go of a call that is owed nothing; its attempt may still be out.
+    fn close(&self, call: CallId) -> Option<Rc<CallIo>> {
+        let mut s = self.state.borrow_mut();
+        let io = s.calls.remove(&call)?;
+        s.open.remove(&io.asked.id);
+        Some(io)
+    }
+
+    /// Gives the ledger an input and carries out what it wants. Inputs that arise meanwhile follow in order.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        {
+            let mut s = self.state.borrow_mut();
+            s.inputs.push_back(input);
+            if std::mem::replace(&mut s.running, true) {
+                return;
+            }
+        }
+        let mut commands = Vec::new();
+        loop {
+            let now = self.now();
+            {
+                let mut s = self.state.borrow_mut();
+                let Some(input) = s.inputs.pop_front() else {
+                    s.running = false;
+                    return;
+                };
+                s.front.step(now, input, &mut commands);
+            }
+            for command in commands.drain(..) {
+                self.carry_out(command);
+            }
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Open { call, attempt, worker, budget } => {
+                let io = self.state.borrow().calls.get(&call).cloned();
+                let conn = io.as_ref().and_then(|io| self.link(&worker)?.pick(self, &io.used.borrow()));
+                let Some((io, conn)) = io.zip(conn) else {
+                    let (seen, told) = (Seen::NeverLeft, Told::default());
+                    return self.feed(Input::Ended { call, attempt, seen, told });
+                };
+                io.used.borrow_mut().push(conn.serial());
+                *io.at.borrow_mut() = Some(conn.clone());
+                self.state.borrow_mut().attempts.insert(call, io.clone());
+                let class = self.setup.shapes.class(io.asked.class);
+                conn.fire(&io.asked, class, &io.body, budget, Job { call, attempt });
+            }
+            Command::Withdraw { call, attempt } => {
+                let conn = self.attempt(call);
+                if let Some((io, conn)) = conn {
+                    if let Some(seen) = conn.withdraw(&io.asked.id) {
+                        self.attempt_ended(call, attempt, seen, Told::default());
+                    }
+                }
+            }
+            Command::Confirm { call, attempt } => {
+                let Some((io, conn)) = self.attempt(call) else { return };
+                match conn.confirm(&io.asked.id) {
+                    Ok(()) => self.feed(Input::Opened { call, attempt }),
+                    Err(seen) => self.attempt_ended(call, attempt, seen, Told::default()),
+                }
+            }
+            // Answers are held whole.
+            Command::Pass { .. } => {}
+            Command::Answer { call, answer } => {
+                if let Some(io) = self.close(call) {
+                    finish(&io, answer);
+                }
+            }
+            Command::Probe { order, worker } => self.order(order, &worker, &["there"]),
+            Command::Load { order, worker, function, instances } => {
+                let fields = format!("asset={function},replicas={instances}");
+                self.order(order, &worker, &["provision", &fields]);
+            }
+            Command::Unload { order, worker, function } => {
+                if let Some(conn) = self.link(&worker).and_then(|l| l.pick(self, &[])) {
+                    conn.tell(&["retire", &function]);
+                }
+                // There is no answer to it.
+                let (seen, told) = (Seen::NeverLeft, Told::default());
+                self.feed(Input::OrderEnded { order, seen, told });
+            }
+            Command::WithdrawOrder { order } => {
+                let conn = self.state.borrow().orders.get(&order).cloned();
+                if let Some(conn) = conn {
+                    let seen = conn.withdraw_order(order);
+                    self.order_ended(order, seen, Told::default());
+                }
+            }
+            Command::Drop { worker } => {
+                let link = self.state.borrow().links.get(&worker).cloned();
+                if let Some(link) = link {
+                    link.drop_now();
+                }
+            }
+            Command::Retire { worker } => {
+                let link = self.state.borrow_mut().links.remove(&worker);
+                if let Some(link) = link {
+                    link.retire();
+                }
+            }
+            Command::Tell { worker, function, seen, count } => {
+                tracing::warn!(%worker, %function, status = %seen, count, "a load order left no instance");
+            }
+            // The list comes unasked.
+            Command::FetchList | Command::Subscribe => {}
+        }
+    }
+
+    fn attempt(&self, call: CallId) -> Option<(Rc<CallIo>, Rc<Conn>)> {
+        let io = self.state.borrow().attempts.get(&call).cloned()?;
+        let conn = io.at.borrow().clone()?;
+        Some((io, conn))
+    }
+
+    fn link(self: &Rc<Self>, worker: &str) -> Option<Rc<Link>> {
+        let mut s = self.state.borrow_mut();
+        let address = *s.addresses.get(worker)?;
+        let link = s.links.entry(worker.to_string()).or_insert_with(|| Link::new(address));
+        Some(link.clone())
+    }
+
+    fn order(self: &Rc<Self>, order: OrderId, worker: &str, words: &[&str]) {
+        let Some(conn) = self.link(worker).and_then(|l| l.pick(self, &[])) else {
+            let (seen, told) = (Seen::NeverLeft, Told::default());
+            return self.feed(Input::OrderEnded { order, seen, told });
+        };
+        self.state.borrow_mut().orders.insert(order, conn.clone());
+        conn.order(order, words);
+    }
+
+    /// An answer has come for an attempt.
+    pub fn answered(self: &Rc<Self>, job: Job, seen: Seen, told: Told, body: Vec<u8>) {
+        if let Some(io) = self.state.borrow().attempts.get(&job.call) {
+            *io.staged.borrow_mut() = Some(body);
+        }
+        self.attempt_ended(job.call, job.attempt, seen, told);
+    }
+    /// An attempt has ended.
+    pub fn attempt_ended(self: &Rc<Self>, call: CallId, attempt: u32, seen: Seen, told: Told) {
+        if let Some(io) = self.state.borrow_mut().attempts.remove(&call) {
+            io.at.borrow_mut().take();
+        }
+        self.feed(Input::Ended { call, attempt, seen, told });
+    }
+    /// An order has ended.
+    pub fn order_ended(self: &Rc<Self>, order: OrderId, seen: Seen, told: Told) {
+        self.state.borrow_mut().orders.remove(&order);
+        self.feed(Input::OrderEnded { order, seen, told });
+    }
+
+    /// Looks over the connections to workers: idle ones close before the worker closes them, answers that stopped
+    /// short end.
+    pub fn look_over(self: &Rc<Self>) {
+        let links: Vec<_> = self.state.borrow().links.values().cloned().collect();
+        links.iter().for_each(|l| l.look_over(&self.setup));
+    }
+    /// Closes one idle connection to a worker, to make room for another.
+    pub fn spare(&self) -> bool {
+        let links: Vec<_> = self.state.borrow().links.values().cloned().collect();
+        links.iter().any(|l| l.spare())
+    }
+}
+
+/// Gives a call's client its final answer.
+fn finish(io: &CallIo, answer: Answer) {
+    let body = io.staged.borrow_mut().take();
+    let (status, wait, body) = match answer {
+        Answer::Served => match body {
+            Some(body) => (200, 0, body),
+            None => (502, 0, Vec::new()),
+        },
+        Answer::Refused { stay_away } => (503, stay_away, Vec::new()),
+        Answer::Failed(why) => match why {
+            tansy_front::Why::Deadline => (504, 0, Vec::new()),
+            _ => (502, 0, Vec::new()),
+        },
+        Answer::Passed => (500, 0, Vec::new()),
+        Answer::Unknown => (404, 0, Vec::new()),
+    };
+    io.slot.give(status, wait, body);
+}
--- a/net/grpc/src/socket.rs
+++ b/net/sockets/src/socket.rs
@@ -6,9 +6,10 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, Protocol, Type};
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
@@ -108,8 +109,46 @@
     }
 }
 
+/// EINPROGRESS, which the standard library has no kind for.
+const IN_PROGRESS: i32 = 115;
+
+impl Socket {
+    /// A socket that connects, or has failed to begin: [`Socket::poll_connected`] tells.
+    pub fn connect(handle: &LoopHandle<'static, ()>, address: SocketAddr) -> io::Result<Socket> {
+        let domain = if address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
+        let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        if let Err(e) = socket.connect(&address.into()) {
+            if e.raw_os_error() != Some(IN_PROGRESS) {
+                return Err(e);
+            }
+        }
+        Socket::new(handle, TcpStream::from(socket))
+    }
+    /// Ready once a connection that was begun stands, or has failed.
+    pub fn poll_connected(&self, cx: &Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_writable(cx));
+        Poll::Ready(self.get().take_error().and_then(|e| e.map_or(Ok(()), Err)))
+    }
+}
+
 impl Drop for Socket {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
 }
+
+/// A listening socket; `shared` lets several processes take connections from one port.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let domain = if address.is_ipv6() { Domain::IPV6 } else { Domain::IPV4 };
+    let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(4096)?;
+    Ok(socket.into())
+}
--- a/programs/day/src/cast.rs
+++ b/programs/day/src/cast.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use tansy_audit::record::Entry;
 use tansy_audit::{Link, Mark};
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::Spawner;
 use tansy_standin_relay::Relay;
 
 /// How a day can't go on.
--- a/programs/day/src/load.rs
+++ b/programs/day/src/load.rs
@@ -17,7 +17,7 @@
 use tansy_inference::inference as pb;
 use tansy_net_grpc::exchange::{Ending, Exchange, News};
 use tansy_net_grpc::link::{Limits, Link};
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::Spawner;
 
 /// What the clients are.
 #[derive(Clone, Debug)]
@@ -171,7 +171,7 @@
         let call = exchange(&spawner, &link, body, stream, budget, slow, &mut first);
         let ended = match cancel {
             Some(after) => {
-                tansy_net_grpc::within(spawner.sleep(after), call).await.unwrap_or(Ended::Cancelled)
+                tansy_net_sockets::within(spawner.sleep(after), call).await.unwrap_or(Ended::Cancelled)
             }
             None => call.await,
         };
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -1,6 +1,6 @@
 //! The program's arguments, logs and exit codes.
 
-use crate::{Gateway, Options, EMBEDDED};
+use crate::{platform, Gateway, Options, EMBEDDED};
 use clap::{Parser, ValueEnum};
 use std::ffi::OsString;
 use std::io::{IsTerminal, Write};
@@ -19,11 +19,15 @@
 #[command(name = "tansy-gateway", version)]
 struct Arguments {
     /// The settings file.
-    #[arg(long, required_unless_present = "embedded")]
+    #[arg(long, required_unless_present_any = ["embedded", "platform"])]
     settings: Option<PathBuf>,
     /// Start four stand-in workers in this process, with built-in settings unless --settings names others.
     #[arg(long)]
     embedded: bool,
+    /// Serve on the platform: all else comes from the file that EDGE_CONFIG names; no other port is opened.
+    #[arg(long, conflicts_with_all = ["settings", "embedded", "workers", "listen", "http", "shared", "record", "me",
+        "siblings"])]
+    platform: bool,
     /// The file with the list of workers; it is read again when it changes.
     #[arg(long)]
     workers: Option<PathBuf>,
@@ -77,6 +81,9 @@
         Logs::Plain => logs.init(),
         Logs::Json => logs.json().init(),
     }
+    if a.platform {
+        return platform(a.check);
+    }
     let (name, text) = match &a.settings {
         Some(path) => match std::fs::read_to_string(path) {
             Ok(text) => (path.display().to_string(), text),
@@ -125,6 +132,33 @@
     }
 }
 
+/// Serves on the platform.
+fn platform(check: bool) -> ExitCode {
+    let path = match std::env::var_os("EDGE_CONFIG") {
+        Some(path) => PathBuf::from(path),
+        None => return wrong("EDGE_CONFIG is not set: want the path of the configuration"),
+    };
+    let config = match platform::read(&path) {
+        Ok(config) => config,
+        Err(e) => return wrong(&e),
+    };
+    if check {
+        let (classes, index) = (config.settings.classes.len(), config.known.index);
+        say(&format!("{}: {classes} classes, list up to event {index}", path.display()));
+        return ExitCode::SUCCESS;
+    }
+    match platform::Platform::start(&config).and_then(|p| p.run(&path)) {
+        Ok(account) => {
+            say(&format!("account {account}"));
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(1)
+        }
+    }
+}
+
 /// A line on standard output. A reader that went away is no reason to stop serving, nor to end in a panic.
 fn say(line: &str) {
     let mut out = std::io::stdout();
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! waits for signals.
 
 pub mod cli;
+pub mod platform;
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
@@ -14,8 +15,9 @@
 use tansy_front::{Front, Input};
 use tansy_net_front::{clients, side, Hub, Names, Setup, Worker};
 use tansy_net_grpc::link::Limits as LinkLimits;
-use tansy_net_grpc::server::{listen, Limits, Server};
-use tansy_net_grpc::Spawner;
+use tansy_net_grpc::server::{Limits, Server};
+use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::Spawner;
 use tansy_settings::{Settings, WorkerLine};
 use tansy_standin_worker::{Function, Profile, Standin, WhenAbsent};
 use tansyrouter::Time;
--- /dev/null
+++ b/programs/gateway/src/platform.rs
@@ -0,0 +1,163 @@
+//! Serving on the platform: the configuration in, one listener, the coordinator's list, signals.
+
+use crate::Error;
+use calloop::signals::{Signal, Signals};
+use calloop::EventLoop;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tansy_front::{Front, Input};
+use tansy_net_platform::clients::Clients;
+use tansy_net_platform::coordinator::Coordinator;
+use tansy_net_platform::{Hub, Setup};
+use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::Spawner;
+use tansy_platform::{Config, List};
+use tansyrouter::{Span, Time};
+
+/// After SIGTERM new connections and requests still come for the platform's 0.4 s and 0.2 s, and are served: so long.
+const WINDOW: Duration = Duration::from_millis(800);
+/// The platform's longest deadline is taken as no less than this ...
+const LEAST_DEADLINE: Span = 3_000_000;
+/// ... and its kill comes so much later; what is open is answered well before.
+const GRACE: Duration = Duration::from_millis(400);
+/// How often connections to workers are looked over.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How often the totals are logged.
+const TOTALS_EVERY: Duration = Duration::from_secs(10);
+
+/// Reads the configuration; the error says what is wrong with it.
+pub fn read(path: &Path) -> Result<Config, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// A front end on the platform.
+pub struct Platform {
+    event_loop: EventLoop<'static, ()>,
+    hub: Rc<Hub>,
+    clients: Rc<Clients>,
+    coordinator: Rc<Coordinator>,
+    address: SocketAddr,
+    deadline: Duration,
+}
+
+impl Platform {
+    /// Listens, and begins to follow the list.
+    pub fn start(config: &Config) -> Result<Platform, Error> {
+        let event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
+        let spawner = Spawner::new(event_loop.handle())?;
+        let settings = tansy_conf::settings(&config.settings).map_err(|e| format!("settings: {e}"))?;
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).max(LEAST_DEADLINE);
+        let front = tansy_front::Config {
+            settings,
+            classes: config.settings.classes.iter().map(|c| c.name.clone()).collect(),
+            tenants: Vec::new(),
+            zones: config.settings.zones.clone(),
+            functions: Vec::new(),
+            longest,
+            seed: config.seed(),
+        };
+        let listener = listen(config.listen, false).map_err(|e| format!("listen {}: {e}", config.listen))?;
+        let address = listener.local_addr()?;
+        let front = Front::new(front, Time(0))?;
+        let hub = Hub::new(spawner.clone(), front, Setup::new(config), Instant::now());
+        let list = List::new(config.settings.zones.clone(), config.settings.machine_types.clone());
+        let coordinator = Coordinator::start(hub.clone(), list, config.coordinator, &config.known);
+        let clients = Clients::start(hub.clone(), listener)?;
+        let looks = hub.clone();
+        spawner.spawn(async move {
+            let mut told = Instant::now();
+            loop {
+                looks.spawner.sleep(LOOK_EVERY).await;
+                looks.look_over();
+                if told.elapsed() >= TOTALS_EVERY {
+                    told = Instant::now();
+                    let (account, open) = looks.account();
+                    tracing::info!(%account, open, held = ?looks.held(), "totals");
+                }
+            }
+        });
+        let deadline = Duration::from_micros(longest.max(0) as u64);
+        Ok(Platform { event_loop, hub, clients, coordinator, address, deadline })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+    /// The hub.
+    pub fn hub(&self) -> &Rc<Hub> {
+        &self.hub
+    }
+    /// The connections of clients.
+    pub fn clients(&self) -> &Rc<Clients> {
+        &self.clients
+    }
+    /// The poll.
+    pub fn coordinator(&self) -> &Rc<Coordinator> {
+        &self.coordinator
+    }
+
+    /// One turn of the loop, at most so long.
+    pub fn turn(&mut self, most: Duration) -> Result<(), Error> {
+        let sleep = self.hub.sleep().map_or(most, |s| s.min(most));
+        self.event_loop.dispatch(Some(sleep), &mut ())?;
+        self.hub.tick();
+        Ok(())
+    }
+
+    /// Takes the configuration anew: the coordinator and what it tells. A bad file leaves all as it was.
+    pub fn reload(&self, path: &Path) {
+        match read(path) {
+            Ok(config) => {
+                tracing::info!(coordinator = %config.coordinator, index = self.coordinator.index(), "configuration read");
+                self.coordinator.move_to(config.coordinator, &config.known);
+            }
+            Err(e) => tracing::error!(error = %e, "the configuration stays as it was"),
+        }
+    }
+
+    /// Serves until SIGTERM or SIGINT, then through the window, answers all, and gives the account's line.
+    pub fn run(mut self, path: &Path) -> Result<String, Error> {
+        let (stop, again) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let (told, reload) = (stop.clone(), again.clone());
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
+        let inserted = self.event_loop.handle().insert_source(signals, move |event, _, ()| {
+            if event.signal() == Signal::SIGHUP {
+                reload.set(true);
+            } else {
+                told.set(true);
+            }
+        });
+        inserted.map_err(|e| e.to_string())?;
+        tracing::info!(listen = %self.address, index = self.coordinator.index(), "serving");
+        while !stop.get() {
+            self.turn(Duration::from_secs(60))?;
+            if again.take() {
+                self.reload(path);
+            }
+        }
+        self.finish()
+    }
+
+    /// Serves through the window, answers what is open, ends.
+    pub fn finish(mut self) -> Result<String, Error> {
+        let told = Instant::now();
+        let end = told + self.deadline + GRACE;
+        tracing::info!(open = self.hub.account().1, "stopping");
+        while told.elapsed() < WINDOW {
+            self.turn(WINDOW.saturating_sub(told.elapsed()).max(Duration::from_millis(1)))?;
+        }
+        self.clients.close();
+        let left = end.saturating_duration_since(Instant::now());
+        self.hub.feed(Input::Close { within: left.as_micros() as Span });
+        while Instant::now() < end + GRACE / 2 && !(self.hub.account().1 == 0 && self.clients.is_empty()) {
+            self.turn(Duration::from_millis(20))?;
+        }
+        let (account, open) = self.hub.account();
+        Ok(format!("{account} open={open}"))
+    }
+}
--- a/programs/worker/src/lib.rs
+++ b/programs/worker/src/lib.rs
@@ -10,8 +10,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tansy_net_grpc::server::listen;
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::Spawner;
 use tansy_standin_worker::{Function, Profile, Standin, WhenAbsent};
 use tracing_subscriber::EnvFilter;
 
--- /dev/null
+++ b/protocol/platform/src/call.rs
@@ -0,0 +1,217 @@
+//! A client's request to a call: only the page's exact form is one.
+
+use tansy_conf::Conf;
+use tansy_front::ledger::Shape;
+use tansyrouter::Span;
+
+/// Digits of an id.
+pub const ID: usize = 16;
+/// A request's id as it came.
+pub type RequestId = [u8; ID];
+
+/// Why a request is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadCall {
+    /// The HTTP status.
+    pub status: u16,
+    /// What is wrong.
+    pub what: &'static str,
+}
+
+/// A call as a client asked for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// The request's id.
+    pub id: RequestId,
+    /// The function, 16 hex digits.
+    pub function: String,
+    /// The class's place in the settings.
+    pub class: usize,
+    /// How long the client waits, microseconds.
+    pub budget: Span,
+    /// What it tells of its function.
+    pub shape: Shape,
+}
+
+/// Classes and bounds that requests are held against.
+#[derive(Clone, Debug)]
+pub struct Shapes {
+    classes: Vec<(String, Span)>,
+    most_memory: f64,
+    most_load_ms: f64,
+}
+
+/// Memory of one copy at most where the settings tell of no machine, MB.
+const MOST_MEMORY: f64 = 1e6;
+/// Lanes of one copy at most: as many as copies can be asked for at once, squared.
+const MOST_LANES: f64 = 256.0;
+
+fn bad(what: &'static str) -> BadCall {
+    BadCall { status: 400, what }
+}
+
+fn hex(text: &str) -> Option<RequestId> {
+    let bytes: RequestId = text.as_bytes().try_into().ok()?;
+    let ok = |b: &u8| b.is_ascii_digit() || (b'a'..=b'f').contains(b);
+    bytes.iter().all(ok).then_some(bytes)
+}
+
+/// A plain positive figure: digits, with a fraction perhaps.
+fn figure(text: &str) -> Option<f64> {
+    let plain = !text.is_empty() && text.len() <= 16 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let plain = plain && text.starts_with(|c: char| c.is_ascii_digit());
+    text.parse().ok().filter(|x: &f64| plain && x.is_finite() && *x > 0.0)
+}
+
+impl Shapes {
+    /// From the settings.
+    pub fn new(conf: &Conf) -> Shapes {
+        let most = conf.specifics.kind_memory_mb.iter().copied().fold(0.0, f64::max);
+        let load = conf.specifics.load_wait_s * 1e3;
+        Shapes {
+            classes: conf.classes.iter().map(|c| (c.name.clone(), tansy_conf::span(c.deadline_s))).collect(),
+            most_memory: if most > 0.0 { most } else { MOST_MEMORY },
+            most_load_ms: if load > 0.0 { load } else { f64::MAX },
+        }
+    }
+
+    /// A class's name.
+    pub fn class(&self, place: usize) -> &str {
+        self.classes.get(place).map_or("", |c| c.0.as_str())
+    }
+
+    /// Reads a request by its method, target and the one value of each header.
+    pub fn read<'a>(
+        &self,
+        method: &str,
+        target: &str,
+        header: impl Fn(&str) -> Option<&'a str>,
+    ) -> Result<Asked, BadCall> {
+        if method != "POST" {
+            return Err(BadCall { status: 405, what: "method: want POST" });
+        }
+        let mut parts = target.split('/');
+        let (lead, ops, function, tail) = (parts.next(), parts.next(), parts.next(), parts.next());
+        let path = lead == Some("") && ops == Some("ops") && tail == Some("call") && parts.next().is_none();
+        let function = function.filter(|f| path && hex(f).is_some());
+        let function = function.ok_or(BadCall { status: 404, what: "path: want /ops/FUNCTION/call" })?;
+        let id = header("x-request-id").and_then(hex);
+        let id = id.ok_or(bad("X-Request-Id: want 16 lower-case hex digits, once"))?;
+        let named = header("x-class").ok_or(bad("X-Class: want one of the settings, once"))?;
+        let class = self.classes.iter().position(|c| c.0 == named);
+        let class = class.ok_or(bad("X-Class: want one of the settings"))?;
+        let wait = header("x-timeout-ms").and_then(figure).map(|ms| (ms * 1e3) as Span);
+        // A client waits no longer than its class does, but for the rounding of the figure.
+        let most = self.classes.get(class).map_or(0, |c| c.1) + 1_000;
+        let budget = wait.filter(|w| (1..=most).contains(w));
+        let budget = budget.ok_or(bad("X-Timeout-Ms: want milliseconds, up to the class's deadline"))?;
+        let shape = self.shape(header("x-extras").ok_or(bad("X-Extras: want memory_mb and lanes"))?);
+        let shape = shape.ok_or(bad("X-Extras: want memory_mb:MB;lanes:N in their ranges"))?;
+        Ok(Asked { id, function: function.to_string(), class, budget, shape })
+    }
+
+    fn shape(&self, text: &str) -> Option<Shape> {
+        let (mut memory, mut lanes, mut load) = (None, None, None);
+        for part in text.split(';') {
+            let (name, value) = part.split_once(':')?;
+            let slot = match name {
+                "memory_mb" => &mut memory,
+                "lanes" => &mut lanes,
+                "load_ms" => &mut load,
+                _ => return None,
+            };
+            if slot.replace(figure(value)?).is_some() {
+                return None;
+            }
+        }
+        let memory_mb = memory.filter(|m| *m <= self.most_memory)?;
+        let lanes = lanes.filter(|l| l.fract() == 0.0 && *l <= MOST_LANES)? as u32;
+        if load.is_some_and(|l| l > self.most_load_ms) {
+            return None;
+        }
+        Some(Shape { lanes, memory_mb, load_time: load.map(|ms| (ms * 1e3) as Span) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn shapes() -> Shapes {
+        let conf = r#"{"classes":[{"name":"call","deadline_s":2.5,"aim_s":1,"effect":"read_like"}],
+            "specifics":{"kind_memory_mb":[4000],"load_wait_s":10}}"#;
+        Shapes::new(&serde_json::from_str(conf).unwrap())
+    }
+
+    const GOOD: [(&str, &str); 4] = [
+        ("x-class", "call"),
+        ("x-request-id", "9b1f03aa5c7e2d41"),
+        ("x-timeout-ms", "1500"),
+        ("x-extras", "memory_mb:512;lanes:2"),
+    ];
+
+    fn read(target: &str, change: Option<(&str, Option<&'static str>)>) -> Result<Asked, BadCall> {
+        shapes().read("POST", target, |name| match change {
+            Some((n, v)) if n == name => v,
+            _ => GOOD.iter().find(|g| g.0 == name).map(|g| g.1),
+        })
+    }
+
+    #[test]
+    fn the_pages_form_is_a_call() {
+        let asked = read("/ops/7f3a9c21e0b4d655/call", None).unwrap();
+        assert_eq!(asked.budget, 1_500_000);
+        assert_eq!(asked.shape, Shape { lanes: 2, memory_mb: 512.0, load_time: None });
+        assert_eq!((asked.class, asked.function.as_str()), (0, "7f3a9c21e0b4d655"));
+    }
+
+    #[test]
+    fn nothing_else_is() {
+        let path = "/ops/7f3a9c21e0b4d655/call";
+        for target in [
+            "/",
+            "/ops",
+            "/ops/7f3a/call",
+            "/ops/7f3a9c21e0b4d65z/call",
+            "/ops/7f3a9c21e0b4d655",
+            "*",
+            "/ops/7f3a9c21e0b4d655/call/",
+            "/ops/7f3a9c21e0b4d655/call?x",
+            "//ops/7f3a9c21e0b4d655/call",
+        ] {
+            assert_eq!(read(target, None).unwrap_err().status, 404, "{target}");
+        }
+        let odd: &[(&str, &[&str])] = &[
+            ("x-class", &["", "Call", "other", "call "]),
+            ("x-request-id", &["", "9b1f", "9b1f03aa5c7e2d4g", "9b1f03aa5c7e2d411", "9B1F03AA5C7E2D41"]),
+            (
+                "x-timeout-ms",
+                &["", "0", "-1", "nan", "inf", "1e3", "abc", "2502", "99999999999999999999", "+5"],
+            ),
+            (
+                "x-extras",
+                &[
+                    "",
+                    "memory_mb:512",
+                    "lanes:2",
+                    "memory_mb:512;lanes:0",
+                    "memory_mb:-1;lanes:2",
+                    "memory_mb:512;lanes:2.5",
+                    "memory_mb:1e3;lanes:2",
+                    "memory_mb:5000;lanes:2",
+                    "memory_mb:x;lanes:2",
+                    "memory_mb:512;lanes:2;lanes:2",
+                    "memory_mb:512;lanes:2;x:1",
+                    "memory_mb:512;lanes:900000",
+                ],
+            ),
+        ];
+        for (name, values) in odd {
+            for value in *values {
+                assert!(read(path, Some((name, Some(value)))).is_err(), "{name}: {value}");
+            }
+            assert!(read(path, Some((name, None))).is_err(), "without {name}");
+        }
+        assert_eq!(shapes().read("PUT", path, |_| None).unwrap_err().status, 405);
+    }
+}
--- a/standins/relay/src/lib.rs
+++ b/standins/relay/src/lib.rs
@@ -11,8 +11,8 @@
 use std::task::{Poll, Waker};
 use std::time::Instant;
 use tansy_audit::record::{Entry, Link, Mark, What};
-use tansy_net_grpc::socket::Socket;
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::socket::Socket;
+use tansy_net_sockets::Spawner;
 
 /// Bytes read at a time.
 const CHUNK: usize = 64 * 1024;
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -22,7 +22,8 @@
 use tansy_inference::orca::OrcaLoadReport;
 use tansy_inference::scan;
 use tansy_net_grpc::server::{head, poll_write, refuse, trailers, Limits, Messages, Server};
-use tansy_net_grpc::{side, within, Spawner};
+use tansy_net_grpc::side;
+use tansy_net_sockets::{within, Spawner};
 
 /// A stand-in worker on a listener.
 pub struct Standin {
--- a/tests/path/src/lib.rs
+++ b/tests/path/src/lib.rs
@@ -12,8 +12,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tansy_gateway::{Gateway, Options};
-use tansy_net_grpc::server::listen;
-use tansy_net_grpc::Spawner;
+use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::Spawner;
 use tansy_standin_worker::{Function, Profile, Standin, WhenAbsent};
 
 /// The service's messages and its client, as the client library generates them.
