A lost connection voids no instance and no order; orders have connections of their own

Checked: traces of one front end. (1) One reset ends the load orders beside the calls; each counted as in vain, which paces all orders to one in 50 ms and bars the place for half a second, though the load goes on at the worker. (2) The function's instance was no longer believed warm, and was loaded elsewhere. (3) s- was suspected, its instances idled out, and a suspect gets one trial call where it holds something warm, and no load: it could not come back. Ruled out: full lanes (49 calls), the late list. At fault: src/rules.rs, `on_order`, `on_done`, `grow`, `suspect`; net/platform/src/link.rs, one connection for all. Change: an order of which nothing was heard leaves what was believed; a trial may be a load; only silence, or a second loss with no answer between, asks for a trial; orders go on a connection of their own. Two tests, seen to fail before.

--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -1,7 +1,7 @@
 //! The hub: gives the ledger its inputs and carries out its commands.
 
 use crate::clients::Slot;
-use crate::link::{Conn, Job, Link};
+use crate::link::{Carries, Conn, Job, Link};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -252,7 +252,9 @@
         match command {
             Command::Open { call, attempt, worker, budget } => {
                 let io = self.state.borrow().calls.get(&call).cloned();
-                let conn = io.as_ref().and_then(|io| self.link(&worker)?.pick(self, &io.used.borrow()));
+                let conn = io
+                    .as_ref()
+                    .and_then(|io| self.link(&worker)?.pick(self, Carries::Calls, &io.used.borrow()));
                 let Some((io, conn)) = io.zip(conn) else {
                     let (seen, told) = (Seen::NeverLeft, Told::default());
                     return self.feed(Input::Ended { call, attempt, seen, told });
@@ -291,7 +293,7 @@
                 self.order(order, &worker, &["provision", &fields]);
             }
             Command::Unload { order, worker, function } => {
-                if let Some(conn) = self.link(&worker).and_then(|l| l.pick(self, &[])) {
+                if let Some(conn) = self.link(&worker).and_then(|l| l.pick(self, Carries::Orders, &[])) {
                     conn.tell(&["retire", &function]);
                 }
                 // There is no answer to it.
@@ -339,7 +341,7 @@
     }
 
     fn order(self: &Rc<Self>, order: OrderId, worker: &str, words: &[&str]) {
-        let Some(conn) = self.link(worker).and_then(|l| l.pick(self, &[])) else {
+        let Some(conn) = self.link(worker).and_then(|l| l.pick(self, Carries::Orders, &[])) else {
             let (seen, told) = (Seen::NeverLeft, Told::default());
             return self.feed(Input::OrderEnded { order, seen, told });
         };
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -22,6 +22,16 @@
 /// Bytes that may wait for the kernel on one connection; more means that the worker takes nothing.
 const OUTBOX: usize = 1024 * 1024;
 
+/// What a connection carries. An answer that can't be read ends all that is open on its connection; a load lasts much
+/// longer than a call, and would mostly not live to its end beside them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Carries {
+    /// Attempts.
+    Calls,
+    /// Orders and probes.
+    Orders,
+}
+
 /// Which attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
@@ -61,6 +71,7 @@
 /// One connection.
 pub struct Conn {
     serial: u64,
+    carries: Carries,
     state: RefCell<State>,
 }
 
@@ -81,13 +92,18 @@
     }
 
     /// A connection for one more request, not one of those used before; made if there is none. None: no room.
-    pub fn pick(self: &Rc<Self>, hub: &Rc<Hub>, used: &[u64]) -> Option<Rc<Conn>> {
+    pub fn pick(self: &Rc<Self>, hub: &Rc<Hub>, carries: Carries, used: &[u64]) -> Option<Rc<Conn>> {
         self.conns.borrow_mut().retain(|c| !c.state.borrow().ended);
         let room = |c: &&Rc<Conn>| {
             let s = c.state.borrow();
             let open = s.calls.len() + s.orders.len();
             let fresh = open > 0 || s.used.elapsed() < fresh_for(&hub.setup);
-            !s.retired && s.abort.is_none() && fresh && open < hub.setup.streams && !used.contains(&c.serial)
+            c.carries == carries
+                && !s.retired
+                && s.abort.is_none()
+                && fresh
+                && open < hub.setup.streams
+                && !used.contains(&c.serial)
         };
         if let Some(c) = self.conns.borrow().iter().find(room) {
             return Some(c.clone());
@@ -115,7 +131,7 @@
             partial: false,
             waker: None,
         };
-        let conn = Rc::new(Conn { serial, state: RefCell::new(state) });
+        let conn = Rc::new(Conn { serial, carries, state: RefCell::new(state) });
         self.conns.borrow_mut().push(conn.clone());
         hub.worker_connections.set(hub.worker_connections.get() + 1);
         hub.spawner.spawn(drive(hub.clone(), self.address, conn.clone()));
@@ -364,8 +380,16 @@
         for (_, o) in calls {
             hub.attempt_ended(o.what.call, o.what.attempt, of(o.from), Told::default());
         }
+        // Of an order whose connection ended nothing was heard, whatever ended the connection.
+        let lost = |seen| {
+            if matches!(seen, Seen::BadAnswer { .. }) {
+                Seen::Cut { stage: Stage::Nothing }
+            } else {
+                seen
+            }
+        };
         for (order, o) in orders {
-            hub.order_ended(order, of(o.from), Told::default());
+            hub.order_ended(order, lost(of(o.from)), Told::default());
         }
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -602,7 +602,7 @@
                     }
                     self.work.add(now, self.class_service[class], memory);
                 }
-                Outcome::NotLoaded | Outcome::ConnectFailed | Outcome::ConnectionLost => p.warm = false,
+                Outcome::NotLoaded | Outcome::ConnectFailed => p.warm = false,
                 Outcome::TurnedAway | Outcome::TimedOut | Outcome::Cancelled => {
                     p.barred_until = now.plus(usual as Span)
                 }
@@ -756,7 +756,7 @@
         let may = |w: &Worker, p: Option<&Place>| {
             let out = |p: &Place| self.stuck(w, p, now) || p.ordered.is_some() && !taken(w, p);
             let room = !direct || request.is_some_and(|r| self.may_send(r, w, now));
-            Self::open(w) && !(paced && (w.vain || self.loads.vain)) && room && !p.is_some_and(out)
+            (!w.suspect || w.trial) && !(paced && (w.vain || self.loads.vain)) && room && !p.is_some_and(out)
         };
         let home = self.home(fid, f, wide, may);
         let lately = |t: Option<Time>, span| t.is_some_and(|t| now.since(t) < span);
@@ -783,6 +783,7 @@
         let p = f.places.entry(wid).or_default();
         if load && allowed && spare {
             p.ordered = Some(now);
+            self.workers.entry(wid).and_modify(|w| w.trial = false);
             self.loads.out += 1;
             self.loads.orders.push_back(now);
             self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
@@ -854,17 +855,17 @@
         let Some(f) = self.functions.get_mut(&fid) else { return };
         let p = f.places.entry(wid).or_default();
         let ordered = p.ordered.take().is_some();
-        p.copies = n;
-        p.warm = n > 0;
-        p.touched = now;
-        p.asked = p.asked.filter(|_| n == 0);
-        p.barred_until = if o == Outcome::Served { now } else { now.plus(SECOND / 2) };
-        p.told = p.warm;
+        let cut = o == Outcome::ConnectionLost; // Nothing was heard: it may stand, or come.
+        if !cut {
+            (p.copies, p.warm, p.told, p.touched) = (n, n > 0, n > 0, now);
+            p.asked = p.asked.filter(|_| n == 0);
+            p.barred_until = if o == Outcome::Served { now } else { now.plus(SECOND / 2) };
+        }
         let told_load = f.told_load;
         if n > 0 {
             self.workers.entry(wid).and_modify(|w| w.vain = false);
             self.loads.vain = false;
-        } else if ordered || o != Outcome::Served {
+        } else if !cut && (ordered || o != Outcome::Served) {
             self.in_vain(now, wid, fid, false);
         }
         if !ordered {
@@ -906,11 +907,11 @@
     // ---- Health ----
 
     /// EXCEPTION: a lost connection (no gap) says little of a worker whose next one answers: tested at once,
-    /// that clears it, unless it lost another in the last second. Harm: one that cuts often is given calls.
+    /// that clears it, unless no call was answered since the last. Harm: one that cuts often is given calls.
     fn suspect(w: &mut Worker, now: Time, gap: Span) {
         if !w.suspect {
             (w.suspect, w.trial) = (true, false);
-            (w.mute, w.since) = (gap > 0 || now.since(w.since) < SECOND, now);
+            (w.mute, w.since) = (gap > 0 || w.heard <= w.since, now);
             w.test_gap = gap.max(SWEEP);
             w.next_test = now.plus(w.test_gap);
         }
@@ -1037,9 +1038,8 @@
             let tried = |t: Time| t > w.since && (now.since(t) as f64) < 2.0 * unit;
             let stuck = w.out.iter().filter(|(sent, id)| {
                 let r = requests.get(id).filter(|r| !r.streaming && !r.concluded && r.attempts.len() < most);
-                !tried(*sent)
-                    && self.set.may_cancel
-                    && r.is_some_and(|r| classes[r.class].effect == Effect::Safe)
+                let safe = r.is_some_and(|r| classes[r.class].effect == Effect::Safe);
+                w.mute && !tried(*sent) && self.set.may_cancel && safe
             });
             for key in stuck.copied().collect::<Vec<_>>() {
                 let attempt = requests.get(&key.1).map_or(0, |r| r.attempts.len() as u32 - 1);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -865,3 +865,32 @@
         assert_eq!(sends, most, "busy {busy:?}");
     }
 }
+
+#[test]
+fn an_order_whose_connection_is_lost_is_not_in_vain() {
+    let (mut b, at) = served_once();
+    let first = ordered(&b.call(2, 10, 0, 5_000 * MS));
+    assert_eq!(first, Some(at));
+    b.loaded(at, 10, Outcome::ConnectionLost);
+    // It is given again as soon as the worker answers, well within the half second of a place that is barred.
+    let mut actions = answered(&mut b, at);
+    actions.extend(b.wait(60 * MS));
+    assert_eq!(ordered(&actions), Some(at));
+    // And what stood there stands: a call goes to it.
+    assert_eq!(sent(&b.call(3, 9, 0, 5_000 * MS)), Some(at));
+}
+
+#[test]
+fn a_suspect_that_holds_nothing_warm_is_tried_by_a_load() {
+    let (mut b, at) = served_once();
+    assert_eq!(sent(&b.call(2, 9, 0, 5_000 * MS)), Some(at));
+    b.wait(3_000 * MS);
+    b.done(2, 0, at, Outcome::Cancelled);
+    // Its instances idle out while it is suspected; then it answers again.
+    b.wait(20_000 * MS);
+    b.call(3, 11, 0, 9_000 * MS);
+    let mut actions = answered(&mut b, at);
+    actions.extend(b.wait(100 * MS));
+    assert_eq!(ordered(&actions), Some(at), "no load, and so no call, would ever go there");
+    assert_eq!(sent(&b.loaded(at, 11, Outcome::Served)), Some(at));
+}
