Recall load orders that have not left when their worker drains

Attempts that wait for their connection were rechecked when the list told of a drain, orders were not: one queued on a connection that is being made could leave up to a connect time-out later. At fault: decide/front/src/ledger.rs, `note_state`, which confirmed attempts alone. Change: `Recall` takes back what has not begun to leave; both fronts carry it out.

--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -293,6 +293,11 @@
         /// The function.
         function: String,
     },
+    /// If nothing of an order has left, take it back, then report its end.
+    Recall {
+        /// Which.
+        order: OrderId,
+    },
     /// Give up on a probe or an order, then report its end.
     WithdrawOrder {
         /// Which.
@@ -751,6 +756,9 @@
             for id in opening {
                 self.confirm(id, out);
             }
+            // Nor may an order to load; asking is free at any time.
+            let loads = self.order_list.iter().filter(|(_, o)| o.worker == worker && o.instances > 0);
+            out.extend(loads.map(|(order, _)| Command::Recall { order: *order }));
         }
     }
 
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -371,3 +371,63 @@
     front.step(Time(5 * connect), piece(true), &mut out);
     assert_eq!(answers(&out), [(1, Answer::Served)]);
 }
+
+fn told_of(n: u64, function: &str) -> Input {
+    let shape = tansy_front::ledger::Shape { lanes: 1, memory_mb: 50.0, load_time: None };
+    match call(n, function, SECOND) {
+        Input::Call(call) => Input::Call(Call { shape: Some(shape), class: Some(0), ..call }),
+        other => other,
+    }
+}
+
+#[test]
+fn a_load_order_that_has_not_left_is_recalled_when_its_worker_drains() {
+    let mut front = Front::new(config(1), Time(0)).expect("settings that make sense");
+    let mut out = Vec::new();
+    front.step(Time(0), Input::Workers { whole: true, list: vec![listed(0, 0)] }, &mut out);
+    front.step(Time(1), told_of(1, "new"), &mut out);
+    let load = out.iter().find_map(|c| match c {
+        Command::Load { order, instances: 1, function, .. } if function == "new" => Some(*order),
+        _ => None,
+    });
+    let order = load.expect("a function that a call told of is loaded");
+    out.clear();
+    front.step(Time(2), Input::Workers { whole: false, list: vec![listed(0, 1)] }, &mut out);
+    assert!(out.contains(&Command::Recall { order }), "{out:?}");
+    out.clear();
+    front.step(Time(3), Input::OrderEnded { order, seen: Seen::NeverLeft, told: Told::default() }, &mut out);
+    assert!(!out.iter().any(|c| matches!(c, Command::Load { .. })), "nothing is ordered there: {out:?}");
+}
+
+#[test]
+fn functions_no_longer_called_and_workers_that_are_gone_are_forgotten() {
+    let mut front = Front::new(config(1), Time(0)).expect("settings that make sense");
+    let named = front.held().0;
+    let mut now = 0;
+    let (mut most, mut out) = ((0, 0), Vec::new());
+    for n in 0..400u64 {
+        // Ever new functions, and a worker that is replaced by a new one each time.
+        let list = vec![listed(n as usize, 0)];
+        front.step(Time(now), Input::Workers { whole: true, list }, &mut out);
+        front.step(Time(now), told_of(n, &format!("f{n}")), &mut out);
+        for c in std::mem::take(&mut out) {
+            if let Command::Load { order, .. } = c {
+                let told = Told { instances: Some(1), ..Told::default() };
+                let seen = Seen::Status { code: 0, stage: Stage::Last };
+                front.step(Time(now), Input::OrderEnded { order, seen, told }, &mut out);
+            }
+        }
+        for c in std::mem::take(&mut out) {
+            if let Command::Open { call, attempt, .. } = c {
+                let seen = Seen::Status { code: 0, stage: Stage::Last };
+                front.step(Time(now), Input::Ended { call, attempt, seen, told: Told::default() }, &mut out);
+            }
+        }
+        now += SECOND;
+        let held = front.held();
+        most = (most.0.max(held.0 - named), most.1.max(held.1));
+    }
+    assert!(front.account().served > 300, "{}", front.account());
+    let kept = (4 * front.config().settings.idle_life / SECOND) as usize + 10;
+    assert!(most.0 <= kept && most.1 <= 3, "{most:?} of 400 functions and workers");
+}
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -325,6 +325,11 @@
             Command::Unload { order, worker, function } => {
                 self.start_order(order, &worker, attempts::OrderRequest::unload(&function));
             }
+            Command::Recall { order } => {
+                if let Some(flag) = self.state.borrow().orders.get(&order) {
+                    flag.ask();
+                }
+            }
             Command::WithdrawOrder { order } => {
                 if let Some(flag) = self.state.borrow().orders.get(&order) {
                     flag.raise();
--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -300,6 +300,12 @@
                 let (seen, told) = (Seen::NeverLeft, Told::default());
                 self.feed(Input::OrderEnded { order, seen, told });
             }
+            Command::Recall { order } => {
+                let conn = self.state.borrow().orders.get(&order).cloned();
+                if let Some(seen) = conn.and_then(|conn| conn.recall(order)) {
+                    self.order_ended(order, seen, Told::default());
+                }
+            }
             Command::WithdrawOrder { order } => {
                 let conn = self.state.borrow().orders.get(&order).cloned();
                 if let Some(conn) = conn {
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -258,6 +258,15 @@
         self.state.borrow_mut().calls.remove(id);
         Err(if up { Seen::NeverLeft } else { Seen::ConnectTimedOut })
     }
+    /// Takes an order back if nothing of it has left; some: its end.
+    pub fn recall(&self, order: OrderId) -> Option<Seen> {
+        let (from, to) = self.state.borrow().orders.get(&order).map(|o| (o.from, o.to))?;
+        if !self.unsend(from, to) {
+            return None;
+        }
+        self.state.borrow_mut().orders.remove(&order);
+        Some(Seen::NeverLeft)
+    }
     /// Gives an order up.
     pub fn withdraw_order(&self, order: OrderId) -> Seen {
         let open = self.state.borrow_mut().orders.remove(&order);
