--- a/net/platform/src/coordinator.rs
+++ b/net/platform/src/coordinator.rs
@@ -20,6 +20,8 @@
 const LATE: Duration = Duration::from_millis(300);
 /// Between two tries that fail at once.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Between two lines on one that can't be reached.
+const TELL_EVERY: Duration = Duration::from_secs(10);
 
 /// The poll.
 pub struct Coordinator {
@@ -70,12 +72,17 @@
     }
 
     async fn run(&self) {
+        // A coordinator that is gone is told of at once, and then seldom.
+        let mut next_tell = std::time::Instant::now();
         loop {
             let moves = self.moves.get();
             let address = self.address.get();
             let began = std::time::Instant::now();
             if let Err(e) = self.connection(address, moves).await {
-                tracing::info!(%address, error = %e, index = self.index(), "the coordinator is asked again");
+                if began >= next_tell || began.elapsed() > PAUSE {
+                    next_tell = began + TELL_EVERY;
+                    tracing::info!(%address, error = %e, index = self.index(), "the coordinator is asked again");
+                }
             }
             if self.moves.get() == moves && began.elapsed() < PAUSE {
                 self.hub.spawner.sleep(PAUSE).await;
