Loopback tests of silent connections, late answers and a front end without descriptors

Need: three hard cases were carried out but shown by no test. Change: a worker whose connection falls silent, and answers late once its call is given up; and the program under a limit of 32 descriptors with 60 silent clients, which has to serve and not turn its loop. The two ends of the program that print the account are one. With `doubt` emptied the next calls go out on the silent connection; with the rest after a failed accept taken out the program spins and the test does not come to its end. Both were seen.

--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -1,6 +1,6 @@
 //! The program's arguments, logs and exit codes.
 
-use crate::{platform, Gateway, Options, EMBEDDED};
+use crate::{platform, Error, Gateway, Options, EMBEDDED};
 use clap::{Parser, ValueEnum};
 use std::ffi::OsString;
 use std::io::{IsTerminal, Write};
@@ -120,16 +120,7 @@
         }
     };
     say(&format!("ready grpc={} http={}", gateway.grpc(), gateway.http()));
-    match gateway.run() {
-        Ok(account) => {
-            say(&format!("account {account}"));
-            ExitCode::SUCCESS
-        }
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::from(1)
-        }
-    }
+    ended(gateway.run())
 }
 
 /// Serves on the platform.
@@ -147,7 +138,12 @@
         say(&format!("{}: {classes} classes, list up to event {index}", path.display()));
         return ExitCode::SUCCESS;
     }
-    match platform::Platform::start(&config).and_then(|p| p.run(&path)) {
+    ended(platform::Platform::start(&config).and_then(|p| p.run(&path)))
+}
+
+/// The program's end: the account, or why it could not go on.
+fn ended(run: Result<String, Error>) -> ExitCode {
+    match run {
         Ok(account) => {
             say(&format!("account {account}"));
             ExitCode::SUCCESS
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -403,3 +403,62 @@
     assert!(told.elapsed() < Duration::from_secs(3), "{:?}", told.elapsed());
     std::fs::remove_file(path).unwrap();
 }
+
+#[test]
+fn a_connection_gone_silent_takes_nothing_new_and_a_late_answer_is_nobodys() {
+    for late in [false, true] {
+        let worker = Worker::start(Box::new(move |c| match c.word() {
+            // The first connection that brings a call never answers one, but may once it is given up.
+            "fire" if c.words[1].ends_with('1') => (Vec::new(), true),
+            "never_mind" if late => (array(&[&c.words[1], "200", "n=ready", "late"]), true),
+            "fire" => (served(c), true),
+            "provision" => (array(&[&c.words[1], "200", "replicas=1", ""]), true),
+            _ => (Vec::new(), true),
+        }));
+        let front = Front::start(&Site::of(&[&worker]));
+        let silent = Call { timeout_ms: 300, ..call(1) }.once();
+        assert_eq!(front.call(&silent).0, 504, "its time is up, and it may have run");
+        until("it is given up", || worker.all("never_mind").len() == 1);
+        for id in 2..6 {
+            let (status, body) = front.call(&call(id));
+            assert_eq!((status, body), (200, format!("body {id}")));
+        }
+        let fires = worker.all("fire");
+        assert!(
+            fires[1..].iter().all(|c| c.on != fires[0].on),
+            "sent on a connection that was silent: {fires:?}"
+        );
+    }
+}
+
+#[test]
+fn without_descriptors_accepting_rests_and_serving_goes_on() {
+    let worker = plain();
+    let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let path = Site::of(&[&worker]).file(&port.to_string());
+    let mut child = Command::new("sh")
+        .args(["-c", "ulimit -n 32; exec \"$0\" --platform", env!("CARGO_BIN_EXE_tansy-gateway")])
+        .env("EDGE_CONFIG", &path)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    until("it listens", || std::net::TcpStream::connect(port).is_ok());
+    let mut open = Client::to(port);
+    open.send(&call(1).text());
+    assert_eq!(open.answer().map(|a| a.0), Some(200));
+    // Far more than there are descriptors for; they say nothing, and give way or are closed in time.
+    let silent: Vec<Client> = (0..60).map(|_| Client::to(port)).collect();
+    open.send(&call(2).text());
+    assert_eq!(open.answer().map(|a| a.0), Some(200), "on a connection that stands");
+    let mut new = Client::to(port);
+    new.send(&call(3).text());
+    assert_eq!(new.answer().map(|a| a.0), Some(200), "on a new one, behind them all");
+    drop(silent);
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap();
+    let after = stat.rsplit(')').next().unwrap_or("");
+    let ticks: u64 = after.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<u64>().ok()).sum();
+    assert!(ticks < 60, "{ticks} hundredths of a second of CPU: it spins");
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(path).unwrap();
+}
