Derived state and a global out of the HTTP reader, the hub and its links

Seen on reading the change once more: the reader kept where a body begins, which nothing asked for, in an enum that an option says as well; a call on its way kept its own number unread; connections were numbered by a thread-wide counter beside the hub that owns them. Change: the reader keeps the end of the message at its front, the hub numbers its connections. Behaviour is as it was.

--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -57,8 +57,6 @@
 
 /// A call on its way.
 pub struct CallIo {
-    /// Its number.
-    pub id: CallId,
     /// What its client asked for.
     pub asked: Asked,
     /// The client's body, passed on as it came.
@@ -94,6 +92,8 @@
     pub setup: Setup,
     /// Connections to workers that stand or are being made.
     pub worker_connections: Cell<usize>,
+    /// Connections to workers that were ever begun.
+    serials: Cell<u64>,
     epoch: Instant,
     state: RefCell<State>,
 }
@@ -118,9 +118,14 @@
             links: HashMap::new(),
             addresses: HashMap::new(),
         });
-        Rc::new(Hub { spawner, setup, worker_connections: Cell::new(0), epoch, state })
+        Rc::new(Hub { spawner, setup, worker_connections: Cell::new(0), serials: Cell::new(0), epoch, state })
     }
 
+    /// A number for a connection to a worker; never given twice.
+    pub fn next_serial(&self) -> u64 {
+        self.serials.set(self.serials.get() + 1);
+        self.serials.get()
+    }
     /// The ledger's clock.
     pub fn now(&self) -> Time {
         Time(i64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(i64::MAX))
@@ -194,7 +199,6 @@
         };
         s.open.insert(asked.id);
         let io = CallIo {
-            id,
             asked,
             body,
             slot: slot.clone(),
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -2,7 +2,7 @@
 //! is not open there is let go.
 
 use crate::hub::{Hub, Setup};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -81,10 +81,6 @@
     conns: RefCell<Vec<Rc<Conn>>>,
 }
 
-thread_local! {
-    static SERIAL: Cell<u64> = const { Cell::new(0) };
-}
-
 impl Link {
     /// Without a connection yet.
     pub fn new(address: SocketAddr) -> Rc<Link> {
@@ -111,10 +107,7 @@
         if hub.worker_connections.get() >= hub.setup.workers && !hub.spare() {
             return None;
         }
-        let serial = SERIAL.with(|s| {
-            s.set(s.get() + 1);
-            s.get()
-        });
+        let serial = hub.next_serial();
         let now = Instant::now();
         let state = State {
             up: false,
--- a/protocol/http1/src/lib.rs
+++ b/protocol/http1/src/lib.rs
@@ -90,22 +90,14 @@
     }
 }
 
-/// What a buffer holds.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Head {
-    /// Not yet read.
-    Unread,
-    /// Read: where its body is.
-    Read { body: usize, end: usize },
-}
-
 /// Reads the messages of one side of one connection.
 #[derive(Debug)]
 pub struct Reader {
     limits: Limits,
     answers: bool,
     buffer: Vec<u8>,
-    head: Head,
+    /// Where the message at the front ends, once its head has been read.
+    end: Option<usize>,
     /// Up to here no end of a head was found.
     seen: usize,
 }
@@ -113,7 +105,7 @@
 impl Reader {
     /// Reads requests.
     pub fn requests(limits: Limits) -> Reader {
-        Reader { limits, answers: false, buffer: Vec::new(), head: Head::Unread, seen: 0 }
+        Reader { limits, answers: false, buffer: Vec::new(), end: None, seen: 0 }
     }
     /// Reads answers.
     pub fn answers(limits: Limits) -> Reader {
@@ -133,28 +125,24 @@
     }
     /// Bytes held beyond the whole message at the front, if there is one.
     pub fn beyond(&self) -> usize {
-        match self.head {
-            Head::Read { end, .. } => self.buffer.len().saturating_sub(end),
-            Head::Unread => 0,
-        }
+        self.end.map_or(0, |end| self.buffer.len().saturating_sub(end))
     }
     /// Lets the message at the front go.
     pub fn next(&mut self) {
-        if let Head::Read { end, .. } = self.head {
+        if let Some(end) = self.end.take() {
             self.buffer.drain(..end.min(self.buffer.len()));
             self.buffer.shrink_to(1024);
         }
-        (self.head, self.seen) = (Head::Unread, 0);
+        self.seen = 0;
     }
 
     /// The whole message at the front, handed to `read`; none: more has to come.
     pub fn message<T>(&mut self, read: impl FnOnce(Message<'_>) -> T) -> Result<Option<T>, Bad> {
-        if let Head::Read { end, .. } = self.head {
-            if self.buffer.len() < end {
-                return Ok(None);
-            }
-        }
-        if self.head == Head::Unread && !self.head_ends()? {
+        let whole = match self.end {
+            Some(end) => self.buffer.len() >= end,
+            None => self.head_ends()?,
+        };
+        if !whole {
             return Ok(None);
         }
         let mut raw = [httparse::EMPTY_HEADER; HEADERS];
@@ -179,7 +167,7 @@
         }
         let list = &list[..headers.len()];
         let body = body(list, length, self.answers || method == "POST", &self.limits)?;
-        self.head = Head::Read { body: body.start, end: body.end };
+        self.end = Some(body.end);
         if self.buffer.len() < body.end {
             return Ok(None);
         }
