Module: a call finds what siblings keep loaded, instead of each front end asking for it

At fault: `grow` asked (`instances: 0`) wherever a load was not to be spared, in a home as wide as the own calls times the siblings said (`wide`), each of 300 front ends for itself.

Nothing is asked for first. - How many places a function has follows the crowds that answers tell of (else its calls, as before).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! end used least recently; else a load, under a per-function cap; else the call is held for a returning run.
 //! What departs from it is marked EXCEPTION, with the symptom it answers and where it could harm.
 
-use crate::api::*;
+use crate::api::{Outcome::*, *};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound::Excluded;
@@ -97,6 +97,9 @@
     vain: bool,
 }
 
+/// How an order ended, after what time, with how many instances.
+type Told = (Outcome, Span, u32);
+
 /// What this front end believes of one function at one worker.
 #[derive(Default)]
 struct Place {
@@ -106,7 +109,8 @@
     last_send: Option<Time>,
     touched: Time,
     ordered: Option<Time>,
-    asked: Option<Time>,
+    /// When a call there found it missing, since it last stood.
+    missed: Option<Time>,
     barred_until: Time,
     /// Told by an order that it stands, and no call has been served there since.
     told: bool,
@@ -122,6 +126,8 @@
     service: Option<f64>,
     mean_hint: f64,
     calls: Recent,
+    /// How many places it needs, by the calls of all front ends that answers tell of.
+    width: f64,
     places: BTreeMap<WorkerId, Place>,
     line: BTreeSet<Turn>,
     /// Those of its line that were sent before: whether they may be again changes with time.
@@ -193,21 +199,24 @@
     orders: VecDeque<Time>,
 }
 
-/// One front end's decisions. See the crate's example.
+/// One front end's decisions. See the crate's example. The default knows nothing and has default settings.
+#[derive(Default)]
 pub struct Router {
     set: Settings,
-    rng: fastrand::Rng,
+    seed: u64,
     workers: BTreeMap<WorkerId, Worker>,
     functions: BTreeMap<FunctionId, Function>,
     requests: BTreeMap<RequestId, Request>,
     waiting: BTreeSet<FunctionId>,
     deadlines: BTreeSet<(Time, RequestId)>,
-    class_service: Vec<f64>,
+    services: BTreeMap<usize, f64>,
     answers: Typical,
     kinds: BTreeMap<usize, Pace>,
     loads: Loads,
     arrivals: VecDeque<Time>,
     work: Recent,
+    /// Shares of their cores that answering workers told to be at work.
+    busy: Pace,
     next_tidy: Time,
     next_test: Time,
     shares: f64,
@@ -233,31 +242,12 @@
             return Err(BadSettings("an aim or deadline not above zero".into()));
         }
         Ok(Router {
-            rng: fastrand::Rng::with_seed(seed),
-            workers: BTreeMap::new(),
-            functions: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            waiting: BTreeSet::new(),
-            deadlines: BTreeSet::new(),
-            class_service: set.classes.iter().map(|c| c.aim as f64 * FIRST_SERVICE).collect(),
-            answers: Typical::default(),
-            kinds: BTreeMap::new(),
-            loads: Loads::default(),
-            arrivals: VecDeque::new(),
-            work: Recent { sum: 0.0, at: now },
-            next_tidy: now,
-            next_test: now,
+            seed,
             next_sweep: now,
-            swept: 0,
-            timer_at: None,
             listed_at: now.plus(-set.ask_within),
-            shares: 0.0,
-            ready: 0.0,
-            readings: 0,
-            largest: 0.0,
-            quickest: 0.0,
             began: now,
             set,
+            ..Router::default()
         })
     }
 
@@ -280,7 +270,7 @@
             }
             Event::AttemptDone(d) => self.on_done(now, d, out),
             Event::Departed { request } => self.conclude(request),
-            Event::ProbeDone { worker, outcome, .. } => self.on_test(worker, outcome == Outcome::Served),
+            Event::ProbeDone { worker, outcome, .. } => self.on_test(worker, outcome == Served),
             Event::OrderDone { worker, function, outcome, latency, instances } => {
                 self.on_order(now, (worker, function), (outcome, latency, instances), out)
             }
@@ -327,7 +317,7 @@
                 w = Worker { entry, left, in_flight, out, limit: FIRST_LIMIT, ..Worker::default() };
                 (w.heard, w.credit_at) = (now, now);
                 let turn = (mix(id.0) % siblings + self.set.me as u64 % siblings) % siblings;
-                let first = self.class_service[0] * turn as f64 / siblings as f64;
+                let first = self.service(0) * turn as f64 / siblings as f64;
                 w.credit = self.cold_rate(&w, now).map_or(0.0, |r| first.max(r * self.set.fall_after as f64));
             }
             self.workers.insert(id, w);
@@ -356,7 +346,8 @@
         }
         let from = (age - self.set.fall_after).max(0) as f64 / self.set.warm_up.max(1) as f64;
         let part = self.set.cold_from + (1.0 - self.set.cold_from) * from;
-        let seen = self.work.sum / self.filled(now) * w.entry.share / self.shares.max(w.entry.share);
+        let could = self.work.sum / self.filled(now) / self.busy.least().clamp(IDLE, 1.0);
+        let seen = could * w.entry.share / self.shares.max(w.entry.share);
         Some(self.set.fall_multiple * part * seen.max(1.0 / self.set.siblings as f64) / 2.0)
     }
 
@@ -392,7 +383,7 @@
         let owed = !r.concluded && !r.streaming && now < r.deadline && !r.pending();
         let ready = w.entry.state == WorkerState::Ready;
         let trial = ready && w.suspect && w.trial && class.effect == Effect::Safe;
-        let weight = self.class_service[r.class];
+        let weight = self.service(r.class);
         owed && (Self::open(w) || trial)
             && (w.in_flight as f64) < w.limit.max(1.0)
             && Self::rest(w, weight, now) <= 0.0
@@ -520,16 +511,22 @@
     /// What this call should take on a warm lane, microseconds, and its weight among its function's calls.
     fn expected(&self, r: &Request) -> (f64, f64) {
         let f = self.functions.get(&r.function);
-        let base = f.and_then(|f| f.service).unwrap_or(self.class_service[r.class]);
+        let base = f.and_then(|f| f.service).unwrap_or(self.service(r.class));
         let mean = f.map_or(0.0, |f| f.mean_hint);
         let weight = r.hint.filter(|_| mean > 0.0).map_or(1.0, |h| h as f64 / mean);
         (base * weight, weight)
     }
 
+    /// What calls of a class take on a warm lane, microseconds.
+    fn service(&self, class: usize) -> f64 {
+        let guess = || self.set.classes[class].aim as f64 * FIRST_SERVICE;
+        self.services.get(&class).copied().unwrap_or_else(guess)
+    }
+
     /// What an answer usually takes of late, queues and chance included.
     fn answer_time(&self) -> f64 {
         let seen = self.answers.mean + self.answers.dev;
-        Some(seen).filter(|s| *s > 0.0).unwrap_or(2.0 * self.class_service[0])
+        Some(seen).filter(|s| *s > 0.0).unwrap_or(2.0 * self.service(0))
     }
 
     fn on_done(&mut self, now: Time, d: AttemptDone, out: &mut Vec<Action>) {
@@ -547,65 +544,66 @@
             w.out.remove(&(sent, d.request));
             w.in_flight = w.in_flight.saturating_sub(1);
             let took = d.latency.max(0) as f64;
-            let heard = !matches!(d.outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent);
-            let lost = matches!(d.outcome, Outcome::ConnectFailed | Outcome::ConnectionLost);
-            let ran = matches!(d.outcome, Outcome::Served | Outcome::Error);
+            let heard = !matches!(d.outcome, TimedOut | Cancelled | NotSent);
+            let lost = matches!(d.outcome, ConnectFailed | ConnectionLost);
+            let ran = matches!(d.outcome, Served | Error);
             let warm = matches!(d.note, Note::Warm | Note::Silent);
             if lost {
                 Self::suspect(w, now, 0);
             } else if heard {
-                w.heard = now;
-                w.suspect &= !ran;
-                w.vain &= d.outcome != Outcome::Served;
+                (w.heard, w.suspect) = (now, w.suspect && !ran);
+                w.vain &= d.outcome != Served;
             }
             // EXCEPTION: what a worker holds of ours is bounded by what comes back in good time, whatever
             // slows it: siblings' calls, few cores, ageing, a jam. With many siblings that is under one call:
             // the part of the time that one may be there (`rest`). Harm: it gives up some room to chance.
             // Not by what one with idle cores takes: those calls are long, or it is slow whatever it holds.
-            let idle = d.report.and_then(|r| r.busy).is_some_and(|b| b < IDLE);
+            let busy = d.report.and_then(|r| r.busy);
+            busy.into_iter().for_each(|b| self.busy.add(now, b, memory));
+            let idle = busy.is_some_and(|b| b < IDLE);
             let slow = ran && warm && took > aim / 2.0 && took > 2.0 * usual && !idle;
             if ran && warm {
                 w.pace.add(now, took / usual.max(1.0), memory);
                 self.quickest = self.quickest.min(took / usual.max(1.0));
                 self.kinds.entry(w.entry.kind).or_default().add(now, took / usual.max(1.0), memory);
             }
-            let bad = slow || matches!(d.outcome, Outcome::TurnedAway | Outcome::TimedOut);
+            let bad = slow || matches!(d.outcome, TurnedAway | TimedOut);
             if bad && now.since(w.cut_at) > usual as Span {
                 let used = if w.in_flight > 0 { w.limit } else { (usual * w.sends.sum / filled).min(1.0) };
                 let least = (LEAST_LIMIT / self.set.siblings as f64).min(1.0);
-                w.limit = (w.limit.min(used) * CUT).max(least);
-                w.cut_at = now;
+                (w.limit, w.cut_at) = ((w.limit.min(used) * CUT).max(least), now);
             } else if !bad && ran && w.in_flight as f64 + 1.5 >= w.limit {
                 w.limit += (1.0 / w.limit).min(GAIN * w.limit);
             }
         }
+        let takes = self.functions.get(&fid).map_or(1.0, |f| self.takes(f, now));
+        let (served, most) = (self.service(class), self.ready.max(1.0));
         if let Some(f) = self.functions.get_mut(&fid) {
+            if let (Some(c), Served | TurnedAway) = (d.crowd, d.outcome) {
+                let step = 1.0 + 2.0 * GAIN * ((c as f64 / takes) - 1.0);
+                f.width = (f.width.max(1.0) * step).clamp(1.0, most);
+            }
             let p = f.places.entry(wid).or_default();
             p.in_flight = p.in_flight.saturating_sub(1);
-            let boast = d.outcome == Outcome::NotLoaded && p.told;
-            p.told &= d.outcome != Outcome::Served && !boast;
+            let boast = d.outcome == NotLoaded && p.told;
+            p.told &= d.outcome != Served && !boast;
             match d.outcome {
-                Outcome::Served => {
-                    p.vain = 0;
-                    p.warm = true;
+                Served => {
+                    (p.vain, p.warm, p.missed, p.touched) = (0, true, None, now);
                     p.copies = p.copies.max(1);
-                    p.touched = now;
-                    p.asked = None;
                     if matches!(d.note, Note::Warm | Note::Silent) {
                         let x = d.latency.max(1) as f64 / weight;
                         self.answers.add(d.latency.max(1) as f64);
                         // A low estimate: falls fast, rises slowly, so that queues weigh little.
                         let step = |old: f64| old + (x - old) * if x < old { 2.0 * GAIN } else { GAIN / 2.0 };
                         f.service = Some(f.service.map_or(x, step));
-                        let old = self.class_service[class];
-                        self.class_service[class] = step(old);
+                        self.services.insert(class, step(served));
                     }
-                    self.work.add(now, self.class_service[class], memory);
-                }
-                Outcome::NotLoaded | Outcome::ConnectFailed => p.warm = false,
-                Outcome::TurnedAway | Outcome::TimedOut | Outcome::Cancelled => {
-                    p.barred_until = now.plus(usual as Span)
+                    self.work.add(now, self.services.get(&class).copied().unwrap_or(served), memory);
                 }
+                NotLoaded => (p.warm, p.missed) = (false, Some(now)),
+                ConnectFailed => p.warm = false,
+                TurnedAway | TimedOut | Cancelled => p.barred_until = now.plus(usual as Span),
                 _ => {}
             }
             if boast {
@@ -660,17 +658,9 @@
         filled.max(self.set.idle_life.max(SECOND) as f64 / 2.0)
     }
 
-    /// Its places with their workers; both maps are in the workers' order, so many are found in one pass.
+    /// Its places with their workers.
     fn seats<'a>(&'a self, f: &'a Function) -> impl Iterator<Item = (WorkerId, &'a Place, &'a Worker)> {
-        let many = 8 * f.places.len() > self.workers.len();
-        let mut walk = self.workers.iter().peekable();
-        f.places.iter().filter_map(move |(id, p)| {
-            if !many {
-                return Some((*id, p, self.workers.get(id)?));
-            }
-            while walk.next_if(|(w, _)| *w < id).is_some() {}
-            walk.next_if(|(w, _)| *w == id).map(|(_, w)| (*id, p, w))
-        })
+        f.places.iter().filter_map(|(id, p)| Some((*id, p, self.workers.get(id)?)))
     }
 
     fn alive(&self, w: &Worker, p: &Place, now: Time) -> bool {
@@ -683,40 +673,94 @@
     fn stuck(&self, w: &Worker, p: &Place, now: Time) -> bool {
         let last = p.last_send.map_or(p.touched, |t| t.max(p.touched));
         let silent = p.in_flight > 0 && now.since(last) as f64 > PATIENCE / 2.0 * self.answer_time();
-        let bad = Self::rest(w, self.class_service[0], now) > self.answer_time();
+        let bad = Self::rest(w, self.service(0), now) > self.answer_time();
         now < p.barred_until || silent || bad
     }
 
     /// The mechanism: the least recently used of the warm places with a free lane. A call about to miss its
     /// aim is held like any other: sent on to a queue it made others late too.
+    /// EXCEPTION: what belongs at a home place is presumed kept there by the siblings until an answer says
+    /// otherwise; asking first would cost a probe of each front end for each function. Harm: a call that is
+    /// not served there has lost one attempt and the time of the way.
     fn pick(&self, r: &Request, now: Time) -> Option<WorkerId> {
         let f = self.functions.get(&r.function)?;
         let lane = |p: &Place| p.warm && p.in_flight < p.copies.max(1) * f.lanes && now >= p.barred_until;
-        // The worker is looked up last: mostly, while calls wait, no lane is free.
-        let free = f.places.iter().filter(|(_, p)| lane(p));
-        let free = free.filter_map(|(id, p)| Some((*id, p, self.workers.get(id)?)));
-        let free = free.filter(|(_, p, w)| self.alive(w, p, now) && self.may_send(r, w, now));
-        let age = |id: WorkerId, p: &Place, w: &Worker| {
+        let free = self.seats(f).filter(|(_, p, w)| lane(p) && self.alive(w, p, now)).map(|s| s.0);
+        let spare = self.shared() && r.attempts.len() + 2 < self.set.max_attempts as usize;
+        let kept = if spare { self.gaps(r.function, now, 0.0, |_| true) } else { Vec::new() };
+        let wait = self.load_wait(f);
+        let missed = |p: &Place| p.missed.is_some_and(|t| now.since(t) < 3 * wait);
+        let kept = kept.into_iter().filter(|id| !f.places.get(id).is_some_and(missed));
+        let aged = free.chain(kept).filter_map(|id| {
+            let w = self.workers.get(&id).filter(|w| self.may_send(r, w, now))?;
             let unused = || (1, self.claim(r.function, id, w, true));
-            p.last_send.map_or_else(unused, |t| (0, now.since(t) as f64 * self.strength(w)))
-        };
-        let aged = free.map(|(id, p, w)| (age(id, p, w), id));
+            let last = f.places.get(&id).and_then(|p| p.last_send);
+            Some((last.map_or_else(unused, |t| (0, now.since(t) as f64 * self.strength(w))), id))
+        });
         aged.max_by(|a, b| a.0 .0.cmp(&b.0 .0).then(a.0 .1.total_cmp(&b.0 .1))).map(|(_, w)| w)
     }
 
+    /// Whether siblings are likely to keep instances that a call finds for the asking.
+    fn shared(&self) -> bool {
+        self.set.siblings > 1 && self.set.may_order && self.set.when_absent == WhenAbsent::Miss
+    }
+
+    /// Calls that one place of a function takes at a time: its lanes, but for no more than a worker's usual
+    /// load of all front ends, since lanes share few cores.
+    fn takes(&self, f: &Function, now: Time) -> f64 {
+        let usual = self.work.sum / self.filled(now) * self.set.siblings as f64 / self.ready.max(1.0);
+        usual.max(LEAST_PLACE).min(f.lanes as f64)
+    }
+
+    /// How many places a function may have: by the crowds told, else by its calls, of which siblings take
+    /// as many. Loads go by one place less, or by the calls before the one just here: presuming costs little.
+    fn cap(&self, f: &Function, now: Time, less: f64) -> usize {
+        if self.set.tells_crowd && self.shared() {
+            return (f.width.max(1.0) - less) as usize + 1;
+        }
+        let service = f.service.unwrap_or(self.service(f.class));
+        let each = service * self.set.siblings as f64 / self.filled(now) / self.takes(f, now);
+        1 + ((f.calls.sum - less).max(0.0) * each) as usize
+    }
+
+    /// Where a function that has fewer places than its cap may get one. Its home is the workers that every
+    /// front end would name for it, as many as the cap (rendezvous hashing over function and worker, weighted
+    /// by size); which of them comes first differs by front end.
+    fn gaps(&self, fid: FunctionId, now: Time, less: f64, room: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
+        let Some(f) = self.functions.get(&fid) else { return Vec::new() };
+        let (cap, wait) = (self.cap(f, now, less), self.load_wait(f));
+        let ordered = |p: &Place| p.ordered.is_some_and(|t| now.since(t) < 3 * wait);
+        let taken = |w: &Worker, p: &Place| self.alive(w, p, now) || ordered(p);
+        let weight = self.service(f.class);
+        let credit = |w: &Worker| self.cold_credit(w, weight, now).is_none_or(|c| c >= weight);
+        let counts =
+            |w: &Worker, p: &Place| Self::open(w) && !self.stuck(w, p, now) && taken(w, p) && credit(w);
+        let have = self.seats(f).filter(|(_, p, w)| counts(w, p)).take(cap).count();
+        // The last: wherever it could be loaded it stands or comes already.
+        if have >= cap || have as f64 >= self.ready {
+            return Vec::new();
+        }
+        let out = |w: &Worker, p: &Place| self.stuck(w, p, now) || p.ordered.is_some() && !taken(w, p);
+        let at = |id: &WorkerId, so: &dyn Fn(&Worker, &Place) -> bool| {
+            self.workers.get(id).zip(f.places.get(id)).is_some_and(|(w, p)| so(w, p))
+        };
+        let may =
+            |id: &WorkerId, w: &Worker| (!w.suspect || w.trial) && credit(w) && room(w) && !at(id, &out);
+        self.home(fid, cap, may).into_iter().filter(|id| !at(id, &taken)).collect()
+    }
+
     fn send(&mut self, now: Time, id: RequestId, wid: WorkerId, out: &mut Vec<Action>) {
         self.unline(id);
         let Some(r) = self.requests.get(&id) else { return };
-        let (weight, memory) = (self.class_service[r.class], self.memory());
+        let (weight, memory) = (self.service(r.class), self.memory());
         let credit = self.workers.get(&wid).and_then(|w| self.cold_credit(w, weight, now));
         let (Some(r), Some(w)) = (self.requests.get_mut(&id), self.workers.get_mut(&wid)) else { return };
         let to = w.entry.clone();
         r.attempts.push(Attempt { to, sent: now, ran: None });
         (w.credit, w.credit_at) = (credit.unwrap_or(0.0) - weight, now);
         w.in_flight += 1;
-        w.trial = false;
         w.out.insert((now, id));
-        w.last = Some(now);
+        (w.trial, w.last) = (false, Some(now));
         w.sends.add(now, 1.0, memory);
         if let Some(f) = self.functions.get_mut(&r.function) {
             let p = f.places.entry(wid).or_default();
@@ -726,84 +770,46 @@
         out.push(Action::Send { request: id, worker: wid, give_up: None });
     }
 
-    /// A load where the function has fewer places than its cap. Its home is the workers that every front end
-    /// would name for it, as many as the cap (rendezvous hashing over function and worker, weighted by
-    /// size); which of them comes first differs by front end. With no load to spare the place is only asked.
+    /// A load where the function has fewer places than its cap; where siblings may keep it, only once a call
+    /// there found it missing.
     fn grow(&mut self, now: Time, id: RequestId, fid: FunctionId, out: &mut Vec<Action>) {
         let allowed = self.ration(now);
-        let Some(f) = self.functions.get(&fid) else { return };
-        let service = f.service.unwrap_or(self.class_service[f.class]);
-        // The siblings take about as much of it and name the same places, so the places are shared by all. A
-        // place counts for its lanes, but for no more than a worker's usual load: lanes share few cores.
-        let siblings = self.set.siblings as f64;
-        let usual = (self.work.sum / self.filled(now) * siblings / self.ready.max(1.0)).max(LEAST_PLACE);
-        let each = service * siblings / self.filled(now) / usual.min(f.lanes as f64);
-        // Loads go by the calls before the one that is just here; asking, which costs little, by all of them.
-        let cap = 1 + ((f.calls.sum - 1.0).max(0.0) * each) as usize;
-        let wide = 1 + (f.calls.sum * each) as usize;
-        let wait = self.load_wait(f);
-        let ordered = |p: &Place| p.ordered.is_some_and(|t| now.since(t) < 3 * wait);
-        let taken = |w: &Worker, p: &Place| self.alive(w, p, now) || ordered(p);
-        let counts = |w: &Worker, p: &Place| Self::open(w) && !self.stuck(w, p, now) && taken(w, p);
-        let have = self.seats(f).filter(|(_, p, w)| counts(w, p)).take(wide).count();
-        // The last: wherever it could be loaded it stands or comes already.
-        if have >= wide || have as f64 >= self.ready {
-            return;
-        }
-        let direct = !self.set.may_order;
-        let paced = now < self.loads.next_vain;
+        let (direct, paced) = (!self.set.may_order, now < self.loads.next_vain);
         let request = self.requests.get(&id);
-        let may = |w: &Worker, p: Option<&Place>| {
-            let out = |p: &Place| self.stuck(w, p, now) || p.ordered.is_some() && !taken(w, p);
-            let room = !direct || request.is_some_and(|r| self.may_send(r, w, now));
-            (!w.suspect || w.trial) && !(paced && (w.vain || self.loads.vain)) && room && !p.is_some_and(out)
+        let room = |w: &Worker| {
+            let sendable = !direct || request.is_some_and(|r| self.may_send(r, w, now));
+            sendable && !(paced && (w.vain || self.loads.vain))
         };
-        let home = self.home(fid, f, wide, may);
-        let lately = |t: Option<Time>, span| t.is_some_and(|t| now.since(t) < span);
-        let open = home.into_iter().enumerate().filter_map(|(rank, (_, id))| {
-            let (p, w) = (f.places.get(&id), self.workers.get(&id)?);
-            let load = rank < cap && have < cap;
-            let asked = lately(p.and_then(|p| p.asked), self.set.idle_life);
-            (!p.is_some_and(|p| taken(w, p)) && (load || !asked)).then_some((load, id, w))
-        });
-        let own = open.map(|(load, id, w)| (self.claim(fid, id, w, true), load, id));
-        let Some((_, load, wid)) = own.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        let open = self.gaps(fid, now, 1.0, room);
+        let Some(f) = self.functions.get(&fid) else { return };
+        let missed = |id: &WorkerId| f.places.get(id).is_some_and(|p| p.missed.is_some());
+        let known = open.into_iter().filter(|id| request.is_some() || !self.shared() || missed(id));
+        let own = known.filter_map(|id| Some((self.claim(fid, id, self.workers.get(&id)?, true), id)));
+        let Some((_, wid)) = own.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         if direct {
             return self.send(now, id, wid, out);
         }
         // EXCEPTION: loads in hand are few over all front ends; a share under one comes in turns of its own.
         // Holds for a release of many functions, a slow store, an empty zone. Harm: loads wait with us then.
-        let window = self.loads.window;
+        let (window, wait) = (self.loads.window, self.load_wait(f));
         let spare = (self.loads.out as f64) < window && window >= 1.0
             || self.loads.out == 0 && now >= self.loads.next;
         if self.loads.vain || self.workers.get(&wid).is_some_and(|w| w.vain) {
             self.loads.next_vain = now.plus(VAIN_PACE);
         }
-        let Some(f) = self.functions.get_mut(&fid) else { return };
-        let p = f.places.entry(wid).or_default();
-        if load && allowed && spare {
-            p.ordered = Some(now);
-            self.workers.entry(wid).and_modify(|w| w.trial = false);
-            self.loads.out += 1;
-            self.loads.orders.push_back(now);
-            self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
-            out.push(Action::Load { worker: wid, function: fid, instances: 1 });
-        } else if !lately(p.asked, wait) {
-            // EXCEPTION: no load to spare, but a sibling may have had it loaded: asking costs no load.
-            p.asked = Some(now);
-            out.push(Action::Load { worker: wid, function: fid, instances: 0 });
-        }
+        let Some(f) = self.functions.get_mut(&fid).filter(|_| allowed && spare) else { return };
+        f.places.entry(wid).or_default().ordered = Some(now);
+        self.workers.entry(wid).and_modify(|w| w.trial = false);
+        self.loads.out += 1;
+        self.loads.orders.push_back(now);
+        self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
+        out.push(Action::Load { worker: wid, function: fid, instances: 1 });
     }
 
     /// The highest claims of a function, so many, among the workers that may have it. Strength is little more
     /// than one for most, so that the order at strength one ends the search early; it changes nothing.
-    fn home(
-        &self,
-        fid: FunctionId,
-        f: &Function,
-        size: usize,
-        may: impl Fn(&Worker, Option<&Place>) -> bool,
-    ) -> Vec<(f64, WorkerId)> {
+    fn home(&self, fid: FunctionId, size: usize, may: impl Fn(&WorkerId, &Worker) -> bool) -> Vec<WorkerId> {
+        let Some(f) = self.functions.get(&fid) else { return Vec::new() };
         let mut order = f.order.borrow_mut();
         if order.0 != self.readings {
             let ranked = self.ready().map(|(id, _)| (rendezvous(fid, *id, 1.0), *id));
@@ -816,13 +822,13 @@
             if home.len() >= size && home.last().is_some_and(|l| l.0 > claim * strongest) {
                 break;
             }
-            let Some(w) = self.workers.get(&id).filter(|w| may(w, f.places.get(&id))) else { continue };
+            let Some(w) = self.workers.get(&id).filter(|w| may(&id, w)) else { continue };
             let own = (self.claim(fid, id, w, false), id);
             let at = home.partition_point(|h| h.0 > own.0 || h.0 == own.0 && h.1 < own.1);
             home.insert(at, own);
             home.truncate(size);
         }
-        home
+        home.into_iter().map(|h| h.1).collect()
     }
 
     /// How long a load of this function should take now.
@@ -844,41 +850,36 @@
         self.set.ration.is_none_or(|r| given <= r.free + r.part * self.arrivals.len() as f64)
     }
 
-    fn on_order(
-        &mut self,
-        now: Time,
-        (wid, fid): (WorkerId, FunctionId),
-        (o, took, n): (Outcome, Span, u32),
-        out: &mut Vec<Action>,
-    ) {
-        self.on_test(wid, matches!(o, Outcome::Served | Outcome::TurnedAway | Outcome::Error));
+    fn on_order(&mut self, now: Time, (wid, fid): (WorkerId, FunctionId), told: Told, out: &mut Vec<Action>) {
+        let (o, took, n) = told;
+        self.on_test(wid, matches!(o, Served | TurnedAway | Error));
         let Some(f) = self.functions.get_mut(&fid) else { return };
         let p = f.places.entry(wid).or_default();
         let ordered = p.ordered.take().is_some();
-        let cut = o == Outcome::ConnectionLost; // Nothing was heard: it may stand, or come.
+        let cut = o == ConnectionLost; // Nothing was heard: it may stand, or come.
         if !cut {
             (p.copies, p.warm, p.told, p.touched) = (n, n > 0, n > 0, now);
-            p.asked = p.asked.filter(|_| n == 0);
-            p.barred_until = if o == Outcome::Served { now } else { now.plus(SECOND / 2) };
+            p.missed = p.missed.filter(|_| n == 0);
+            p.barred_until = if o == Served { now } else { now.plus(SECOND / 2) };
         }
         let told_load = f.told_load;
         if n > 0 {
             self.workers.entry(wid).and_modify(|w| w.vain = false);
             self.loads.vain = false;
-        } else if !cut && (ordered || o != Outcome::Served) {
+        } else if !cut && (ordered || o != Served) {
             self.in_vain(now, wid, fid, false);
         }
         if !ordered {
             return self.pump(now, fid, out);
         }
         self.loads.out = self.loads.out.saturating_sub(1);
-        if matches!(o, Outcome::ConnectFailed | Outcome::ConnectionLost | Outcome::TimedOut) {
-            let gap = if o == Outcome::TimedOut { self.set.connect_timeout } else { 0 };
+        if matches!(o, ConnectFailed | ConnectionLost | TimedOut) {
+            let gap = if o == TimedOut { self.set.connect_timeout } else { 0 };
             self.workers.entry(wid).and_modify(|w| Self::suspect(w, now, gap));
         }
-        if o == Outcome::Served && took > self.set.connect_timeout {
+        if o == Served && took > self.set.connect_timeout {
             self.loads.took.add(took as f64 / told_load.map_or(1.0, |t| t as f64));
-        } else if o == Outcome::Served && n > 0 {
+        } else if o == Served && n > 0 {
             self.loads.next = now; // It stood already: no load was made.
         }
         self.pump(now, fid, out);
@@ -894,8 +895,7 @@
         p.vain = before.saturating_add(1);
         if before > 0 {
             let gap = (SECOND / 2) << (before - 1).min(VAIN_DOUBLES);
-            let spread = gap as f64 * self.rng.f64() / 2.0;
-            p.barred_until = p.barred_until.max(now.plus(gap + spread as Span));
+            p.barred_until = p.barred_until.max(now.plus(spread(self.seed, now, gap)));
         }
         // One miss after a load may be a release of the function between them.
         if before > 0 || !missed {
@@ -982,7 +982,7 @@
     /// first try whose aim is further off than any answer takes is none of these.
     fn looked_over(&self, fid: FunctionId, now: Time) -> Vec<Turn> {
         let Some(f) = self.functions.get(&fid) else { return Vec::new() };
-        let slowest = self.class_service.iter().copied().fold(0.0, f64::max);
+        let slowest = (0..self.set.classes.len()).map(|c| self.service(c)).fold(0.0, f64::max);
         let heavy = if f.mean_hint > 0.0 { f.heaviest as f64 / f.mean_hint } else { 1.0 };
         let longest = (f.service.unwrap_or(slowest) * heavy.max(1.0)).max(self.answer_time());
         let near = (0, now.plus((longest as Span).saturating_add(2)), RequestId(u64::MAX));
@@ -1021,7 +1021,7 @@
             let Some(w) = self.workers.get_mut(&wid) else { continue };
             if test == Some(wid) {
                 self.next_test = now.plus(unit as Span);
-                w.next_test = now.plus(w.test_gap + (w.test_gap as f64 * self.rng.f64() / 2.0) as Span);
+                w.next_test = now.plus(spread(self.seed, now, w.test_gap));
                 w.test_gap = (w.test_gap * 2).min(4 * SECOND);
                 let asked = self.functions.iter().find(|(_, f)| f.places.contains_key(&wid)).map(|f| *f.0);
                 if self.set.may_probe {
@@ -1050,6 +1050,11 @@
     }
 }
 
+/// A gap, or up to half as much more, by chance.
+fn spread(seed: u64, now: Time, gap: Span) -> Span {
+    gap + (mix(seed ^ mix(now.0 as u64)) % (gap.max(0) as u64 / 2 + 1)) as Span
+}
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
