--- /dev/null
+++ b/programs/gateway/tests/platform/deploy.rs
@@ -0,0 +1,205 @@
+//! What the deploy file promises of `run`, seen from outside on the program by itself: the process that `run` becomes,
+//! its linkage, children, descriptors, sockets, threads and files. A part that is off there and opens one fails this.
+
+use crate::stage::*;
+use rustix::process::{kill_process, Pid, Signal};
+use std::collections::BTreeSet;
+use std::fs;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A line of the deploy file, without its quotes.
+fn deployed(key: &str) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/balancer.toml");
+    let text = fs::read_to_string(&file).expect("the deploy file");
+    let line = text.lines().find_map(|l| l.strip_prefix(key)?.trim_start().strip_prefix('='));
+    line.expect("the key").trim().trim_matches('"').to_string()
+}
+
+/// A directory of its own with the program where the deploy file wants it; it goes with the value.
+struct Root(PathBuf);
+
+impl Root {
+    fn new(name: &str) -> Root {
+        let root = std::env::temp_dir().join(format!("tansy-deploy-{}-{name}", std::process::id()));
+        for d in ["target/release", "tmp", "home"] {
+            fs::create_dir_all(root.join(d)).expect("a directory");
+        }
+        let program = root.join("target/release/tansy-gateway");
+        std::os::unix::fs::symlink(env!("CARGO_BIN_EXE_tansy-gateway"), program).expect("the program");
+        Root(root)
+    }
+
+    /// A shell that runs one line here, with little else in its environment.
+    fn shell(&self, line: &str, config: &Path) -> Running {
+        let child = Command::new("/bin/sh")
+            .args(["-c", line])
+            .current_dir(&self.0)
+            .env_clear()
+            .env("EDGE_CONFIG", config)
+            .env("TMPDIR", self.0.join("tmp"))
+            .env("HOME", self.0.join("home"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        Running(child.expect("a shell"))
+    }
+
+    fn files(&self) -> BTreeSet<PathBuf> {
+        let mut todo = vec![self.0.clone()];
+        let mut all = BTreeSet::new();
+        while let Some(d) = todo.pop() {
+            for e in fs::read_dir(d).expect("a directory").flatten() {
+                if e.file_type().is_ok_and(|t| t.is_dir()) {
+                    todo.push(e.path());
+                }
+                all.insert(e.path());
+            }
+        }
+        all
+    }
+}
+
+impl Drop for Root {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process that ends with the value, and its own children before it.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for pid in children(self.0.id()).into_iter().filter_map(|p| Pid::from_raw(p as i32)) {
+            let _ = kill_process(pid, Signal::KILL);
+        }
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Fields of a `stat` file from the state on: state, parent.
+fn stat(path: &Path) -> Option<(String, u32)> {
+    let text = fs::read_to_string(path).ok()?;
+    let mut words = text.rsplit(')').next()?.split_whitespace();
+    Some((words.next()?.to_string(), words.next()?.parse().ok()?))
+}
+
+fn children(pid: u32) -> Vec<u32> {
+    let all = fs::read_dir("/proc").expect("the process table").flatten();
+    let numbers = all.filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
+    numbers.filter(|n| stat(Path::new(&format!("/proc/{n}/stat"))).is_some_and(|s| s.1 == pid)).collect()
+}
+
+/// What is against the deploy terms at this process, which should listen at this port alone.
+fn against_terms(pid: u32, port: u16) -> Vec<String> {
+    let proc = PathBuf::from(format!("/proc/{pid}"));
+    let mut found = Vec::new();
+    let exe = fs::read_link(proc.join("exe")).unwrap_or_default();
+    if exe.file_name().is_none_or(|n| n != "tansy-gateway") {
+        found.push(format!("the process is {}", exe.display()));
+    }
+    if !fs::read_to_string(proc.join("maps")).unwrap_or_default().contains("/libc.so") {
+        found.push("no C library is mapped: it is not linked dynamically".into());
+    }
+    found.extend(children(pid).into_iter().map(|c| format!("child {c}")));
+    // What whoever runs the tests leaves open to all below is not the program's.
+    let given = fs::read_dir("/proc/self/fd").expect("our descriptors").flatten();
+    let given: BTreeSet<PathBuf> = given.filter_map(|fd| fs::read_link(fd.path()).ok()).collect();
+    let mut sockets = BTreeSet::new();
+    for fd in fs::read_dir(proc.join("fd")).expect("its descriptors").flatten() {
+        let to = fs::read_link(fd.path()).unwrap_or_default();
+        if given.contains(&to) {
+            continue;
+        }
+        let to = to.display().to_string();
+        let waits = [
+            "anon_inode:[eventpoll]",
+            "anon_inode:[eventfd]",
+            "anon_inode:[signalfd]",
+            "anon_inode:[timerfd]",
+        ];
+        if let Some(inode) = to.strip_prefix("socket:[").and_then(|s| s.strip_suffix(']')) {
+            sockets.insert(inode.to_string());
+        } else if !waits.contains(&to.as_str()) && to != "/dev/null" && !to.is_empty() {
+            found.push(format!("descriptor of {to}"));
+        }
+    }
+    // The columns of the kernel's tables: address, state and inode; for Unix sockets the inode alone.
+    for table in ["tcp", "tcp6", "udp", "udp6", "raw", "packet", "unix"] {
+        let text = fs::read_to_string(proc.join("net").join(table)).unwrap_or_default();
+        for line in text.lines().skip(1) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let inode = match table {
+                "unix" => words.get(6),
+                "packet" => words.get(8),
+                _ => words.get(9),
+            };
+            let own = inode.is_some_and(|i| sockets.contains(*i));
+            let listens = words.get(3) == Some(&"0A");
+            let address = words.get(1).copied().unwrap_or("");
+            let expected = address == format!("0100007F:{port:04X}");
+            if own && !(table == "tcp" && (!listens || expected)) {
+                found.push(format!("a {table} socket at {address}"));
+            }
+        }
+    }
+    found
+}
+
+fn threads_wait(pid: u32) -> bool {
+    let tasks = fs::read_dir(format!("/proc/{pid}/task")).expect("its threads").flatten();
+    tasks.into_iter().all(|t| stat(&t.path().join("stat")).is_none_or(|s| s.0 == "S"))
+}
+
+fn free_port() -> std::net::SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address")
+}
+
+#[test]
+fn run_becomes_one_process_with_one_listener_and_nothing_else() {
+    let worker = Worker::start(serving(|_| None));
+    let root = Root::new("run");
+    let port = free_port();
+    let config = Site::of(&[&worker]).file(&port.to_string());
+    let before = root.files();
+    let running = root.shell(&deployed("run"), &config);
+    until("it listens", || std::net::TcpStream::connect(port).is_ok());
+    let mut client = Client::to(port);
+    for id in 1..=20 {
+        client.send(&call(id).text());
+        assert_eq!(client.answer().map(|a| a.0), Some(200));
+    }
+    let pid = Pid::from_child(&running.0);
+    kill_process(pid, Signal::HUP).expect("it runs");
+    client.send(&call(21).text());
+    assert_eq!(client.answer().map(|a| a.0), Some(200), "after SIGHUP");
+    // The shell's own id: it has become the program.
+    assert_eq!(against_terms(running.0.id(), port.port()), Vec::<String>::new());
+    until("every thread waits", || threads_wait(running.0.id()));
+    assert_eq!(root.files(), before, "files come and go");
+    fs::remove_file(config).expect("the configuration");
+}
+
+#[test]
+fn what_is_against_the_terms_is_seen() {
+    let root = Root::new("planted");
+    let none = root.0.join("none");
+    let (grpc, http) = (free_port(), free_port());
+    // Two listeners and a file open for its output, under a shell that does not become the program.
+    let line =
+        format!("target/release/tansy-gateway --embedded --listen {grpc} --http {http} >tmp/out 2>&1; true");
+    let shell = root.shell(&line, &none);
+    until("it listens", || std::net::TcpStream::connect(http).is_ok());
+    let of_shell = against_terms(shell.0.id(), grpc.port());
+    assert!(of_shell.iter().any(|f| f.starts_with("child")), "{of_shell:?}");
+    assert!(of_shell.iter().any(|f| f.starts_with("the process is")), "{of_shell:?}");
+    let program = children(shell.0.id())[0];
+    let of_program = against_terms(program, grpc.port());
+    assert!(of_program.iter().any(|f| f.contains(&format!(":{:04X}", http.port()))), "{of_program:?}");
+    assert!(of_program.iter().any(|f| f.contains("tmp/out")), "{of_program:?}");
+    assert!(root.files().iter().any(|f| f.ends_with("tmp/out")));
+}
