Gateway says that it is ready only once it takes SIGTERM

Cause: cli.rs printed the ready line before run() registered SIGTERM and SIGINT (lib.rs), so whoever signals at once ends the process with calls unanswered. Ruled out: the closed pipe (the exit was by the signal, code none). Change: run() takes what is to be said and says it after the signals are taken.

--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -119,8 +119,7 @@
             return ExitCode::from(1);
         }
     };
-    say(&format!("ready grpc={} http={}", gateway.grpc(), gateway.http()));
-    ended(gateway.run())
+    ended(gateway.run(|g| say(&format!("ready grpc={} http={}", g.grpc(), g.http()))))
 }
 
 /// Serves on the platform.
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -142,12 +142,14 @@
         self.http
     }
 
-    /// Serves until SIGTERM or SIGINT, then finishes what is held within the drain time; gives the account's line.
-    pub fn run(mut self) -> Result<String, Error> {
+    /// Serves until SIGTERM or SIGINT, then finishes what is held within the drain time; gives the account's line. `ready`
+    /// is called once these signals are taken: whoever is told earlier could end the process by one.
+    pub fn run(mut self, ready: impl FnOnce(&Gateway)) -> Result<String, Error> {
         let stop = Rc::new(std::cell::Cell::new(false));
         let (told, signals) = (stop.clone(), Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?);
         let inserted = self.event_loop.handle().insert_source(signals, move |_, _, ()| told.set(true));
         inserted.map_err(|e| e.to_string())?;
+        ready(&self);
         while !stop.get() {
             self.turn(Duration::from_secs(60))?;
         }
