--- /dev/null
+++ b/decide/agree/src/lease.rs
@@ -0,0 +1,246 @@
+//! Leases: who may act on which step, until when by its own clock.
+//!
+//! A holder counts from **before it asked**, a granter from when it granted, each on its own monotonic clock, each with the
+//! stated bound on how far clock rates differ on its own side. So a lease ends at its holder before its granter takes it
+//! to be out, whatever the network does to the messages, and however long either was paused.
+//!
+//! Leases nest: who relays grants no longer than what is left of its own, so that its granter's waiting covers all below.
+
+use crate::log::Step;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Microseconds of the caller's monotonic clock, which must go on while the machine sleeps.
+pub type Time = i64;
+
+const MILLION: i64 = 1_000_000;
+
+/// What leases rest on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// A lease's length, microseconds.
+    pub span: i64,
+    /// Bound on the error of any clock's rate, parts in a million.
+    pub ppm: i64,
+}
+
+impl Terms {
+    /// How long a holder counts a lease of this length: under it by any clock within the bound.
+    pub fn held(&self, span: i64) -> i64 {
+        span.max(0) - scaled(span, self.ppm)
+    }
+    /// After how long a granter takes it to be out.
+    pub fn out(&self, span: i64) -> i64 {
+        span.max(0).saturating_add(scaled(span, self.ppm))
+    }
+    /// What may be lent on of a lease that ends in so long by one's own clock.
+    pub fn lent(&self, left: i64) -> i64 {
+        (left - scaled(left, 2 * self.ppm)).clamp(0, self.span)
+    }
+}
+
+/// So many parts of a million, rounded up.
+fn scaled(span: i64, ppm: i64) -> i64 {
+    let parts = i128::from(span.max(0)) * i128::from(ppm.clamp(0, MILLION));
+    i64::try_from((parts + i128::from(MILLION) - 1) / i128::from(MILLION)).unwrap_or(i64::MAX)
+}
+
+/// A front end's process: a name that comes back is another one with a larger incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    /// Its name's number.
+    pub id: u64,
+    /// Which of its processes.
+    pub incarnation: u64,
+}
+
+/// What a lease is for: something that has a step.
+pub trait Stepped: Clone {
+    /// Its step.
+    fn step(&self) -> Step;
+}
+
+impl Stepped for Step {
+    fn step(&self) -> Step {
+        *self
+    }
+}
+
+impl Stepped for crate::log::State {
+    fn step(&self) -> Step {
+        self.step
+    }
+}
+
+/// A holder asks for a lease, and tells thereby how far it and all below it are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ask {
+    /// Who asks.
+    pub from: Member,
+    /// Its asks count up.
+    pub seq: u64,
+    /// No live lease below it, nor its own, is for a step before this one.
+    pub at: Step,
+    /// The step that it has itself.
+    pub has: Step,
+}
+
+/// A granter answers one ask.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Grant<S> {
+    /// Who asked.
+    pub to: Member,
+    /// Which ask.
+    pub seq: u64,
+    /// Length, counted by the holder from before that ask.
+    pub span: i64,
+    /// The step that it is for.
+    pub step: Step,
+    /// What is to be acted on, unless the ask said that it is there.
+    pub state: Option<S>,
+}
+
+/// Asks that a holder remembers; a grant to an older one is of no use any more.
+const ASKS: usize = 8;
+
+/// One that acts under a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holder<S> {
+    terms: Terms,
+    me: Member,
+    seq: u64,
+    asks: VecDeque<(u64, Time)>,
+    state: Option<S>,
+    until: Option<Time>,
+}
+
+impl<S: Stepped> Holder<S> {
+    /// One that knows nothing and holds no lease.
+    pub fn new(terms: Terms, me: Member) -> Holder<S> {
+        Holder { terms, me, seq: 0, asks: VecDeque::new(), state: None, until: None }
+    }
+
+    /// What it knows last, acted on or not.
+    pub fn known(&self) -> Option<&S> {
+        self.state.as_ref()
+    }
+
+    /// What it acts on at this time; none: it holds no live lease.
+    pub fn acts(&self, now: Time) -> Option<&S> {
+        self.state.as_ref().filter(|_| self.left(now) > 0)
+    }
+
+    /// What is left of its lease.
+    pub fn left(&self, now: Time) -> i64 {
+        self.until.map_or(0, |u| u.saturating_sub(now).max(0))
+    }
+
+    /// The step that it has; the zeroth before any.
+    pub fn step(&self) -> Step {
+        self.state.as_ref().map_or(Step(0), Stepped::step)
+    }
+
+    /// An ask, to be sent at once. `below`: the least step of a live lease that it granted itself, if any.
+    pub fn ask(&mut self, now: Time, below: Option<Step>) -> Ask {
+        self.seq += 1;
+        self.asks.push_back((self.seq, now));
+        if self.asks.len() > ASKS {
+            self.asks.pop_front();
+        }
+        let has = self.step();
+        Ask { from: self.me, seq: self.seq, at: below.map_or(has, |b| b.min(has)), has }
+    }
+
+    /// Takes a grant. True: it now acts on, or knows of, a later step than before.
+    pub fn granted(&mut self, grant: Grant<S>) -> bool {
+        let asked = self.asks.iter().find(|(seq, _)| *seq == grant.seq).map(|a| a.1);
+        let (Some(asked), true) = (asked, grant.to == self.me) else { return false };
+        let later = grant.step > self.step();
+        match grant.state.filter(|s| s.step() == grant.step) {
+            Some(state) if later => self.state = Some(state),
+            // A lease for a step that it doesn't have would be one for what it can't act on.
+            None if later => return false,
+            _ => {}
+        }
+        let until = asked.saturating_add(self.terms.held(grant.span.min(self.terms.span)));
+        self.until = Some(self.until.map_or(until, |u| u.max(until)));
+        later
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Child {
+    /// No live lease of it is for a step before this one.
+    at: Step,
+    /// When its leases are all out, whatever it got of them.
+    out: Time,
+}
+
+/// One that grants leases.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Granter {
+    terms: Terms,
+    children: BTreeMap<Member, Child>,
+    /// Until then leases may live that someone granted before, under the same right, and that it knows nothing of.
+    quiet: Option<Time>,
+    most: usize,
+}
+
+impl Granter {
+    /// One that grants to so many at a time. `before`: leases may live that it knows nothing of, since its right is one
+    /// that was there before its process, or had by another.
+    pub fn new(terms: Terms, most: usize, before: Option<Time>) -> Granter {
+        let quiet = before.map(|now| now.saturating_add(terms.out(terms.span)));
+        Granter { terms, children: BTreeMap::new(), quiet, most }
+    }
+
+    /// Answers an ask out of a right that lasts for `left` more by its own clock. None: it has none to give, or too many
+    /// hold one already.
+    pub fn grant<S: Stepped>(&mut self, now: Time, ask: &Ask, state: &S, left: i64) -> Option<Grant<S>> {
+        self.forget(now);
+        let (span, step) = (self.terms.lent(left), state.step());
+        let full = self.children.len() >= self.most && !self.children.contains_key(&ask.from);
+        if span == 0 || full {
+            return None;
+        }
+        let out = now.saturating_add(self.terms.out(span));
+        // A lease of this granter comes with this step, so that a first one is for no earlier step; of several the
+        // holder may have got the first alone.
+        let child = self.children.entry(ask.from).or_insert(Child { at: step, out });
+        child.at = child.at.max(ask.at.min(step));
+        child.out = child.out.max(out);
+        let state = (ask.has < step).then(|| state.clone());
+        Some(Grant { to: ask.from, seq: ask.seq, span, step, state })
+    }
+
+    /// A member that may hold a lease tells, without asking for one, that none below it is for a step before this.
+    pub fn told(&mut self, from: Member, at: Step) {
+        if let Some(child) = self.children.get_mut(&from) {
+            child.at = child.at.max(at);
+        }
+    }
+
+    /// The least step for which a lease that it granted may live; none: there is no such lease.
+    pub fn least(&self, now: Time) -> Option<Step> {
+        self.children.values().filter(|c| c.out > now).map(|c| c.at).min()
+    }
+
+    /// Whether no lease may live for a step before this one: what a step that changes rules waits for.
+    pub fn reached(&self, now: Time, step: Step) -> bool {
+        self.quiet.is_none_or(|q| now >= q) && self.least(now).is_none_or(|l| l >= step)
+    }
+
+    /// When something that keeps [`Granter::reached`] false runs out by itself, at the latest.
+    pub fn reached_by(&self, step: Step) -> Time {
+        let behind = self.children.values().filter(|c| c.at < step).map(|c| c.out);
+        behind.chain(self.quiet).max().unwrap_or(Time::MIN)
+    }
+
+    /// Who may hold a lease.
+    pub fn children(&self, now: Time) -> impl Iterator<Item = Member> + '_ {
+        self.children.iter().filter(move |(_, c)| c.out > now).map(|(m, _)| *m)
+    }
+
+    fn forget(&mut self, now: Time) {
+        self.children.retain(|_, c| c.out > now);
+    }
+}
--- /dev/null
+++ b/decide/agree/src/log.rs
@@ -0,0 +1,262 @@
+//! The agreed order of versions, and the steps by which one takes force.
+//!
+//! Entries come from wherever order is agreed on (one seat's durable log, or a majority of several seats) and are applied
+//! in that order by everyone; the outcome depends on nothing else. A version goes through three steps:
+//!
+//! 1. **told**: every front end gets to know it and acts as before. Who loses its lease from here on knows what is
+//!    contested.
+//! 2. **joint**: both versions may be about; the stricter of the two holds, contested calls are refused.
+//! 3. **in force**: it alone.
+//!
+//! [`Entry::Advance`] is entered only when no front end with a live lease is behind the step that it goes on from (see
+//! [`crate::lease`]). The other entries need not wait: telling a version changes no rule, and giving one up leads from the
+//! stricter of two back to one of them. One change goes on at a time: a proposal says the version that it starts from, and
+//! is refused when that is not the latest.
+
+use crate::rule::{changes, joint, Change, Fields, Kind, Rules, Schema};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// A version of the settings; 1 is the first, 0 is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version(pub u64);
+
+/// A step of the fleet; each is one more than the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Step(pub u64);
+
+impl Step {
+    /// The one after it.
+    pub fn next(self) -> Step {
+        Step(self.0.saturating_add(1))
+    }
+}
+
+/// Where the change of a version stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// Known to all, acted on by none.
+    Told,
+    /// Both may be about.
+    Joint,
+    /// It was given up after it had been joint; the one before is acted on alone again.
+    Back,
+}
+
+/// One agreed entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A new version, to follow the latest.
+    Propose {
+        /// The proposer's own id for it: the same proposal told twice is one.
+        id: u64,
+        /// The version that it was made from.
+        base: Version,
+        /// All of its fields.
+        fields: Fields,
+        /// Why, for people.
+        why: String,
+    },
+    /// The change goes on by a step, from this one.
+    Advance {
+        /// The step that all had reached.
+        from: Step,
+    },
+    /// The change under way is given up.
+    Abandon {
+        /// The version that is given up.
+        version: Version,
+    },
+}
+
+/// Why an entry changed nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The proposal was made from another version than the latest.
+    Base {
+        /// The latest.
+        latest: Version,
+    },
+    /// Another change is under way.
+    Busy {
+        /// Its version.
+        with: Version,
+    },
+    /// It changes no field.
+    Same,
+    /// The step was taken already, or there is none to take.
+    Past,
+    /// It is in force already, or was never under way.
+    Over,
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Refused::Base { latest } => {
+                write!(
+                    f,
+                    "made from a version that is not the latest, {}: look at it and propose again",
+                    latest.0
+                )
+            }
+            Refused::Busy { with } => {
+                write!(f, "the change to version {} goes on: wait, or abandon it first", with.0)
+            }
+            Refused::Same => write!(f, "no field differs from the latest version"),
+            Refused::Past => write!(f, "that step is taken already"),
+            Refused::Over => write!(f, "that version is no change under way"),
+        }
+    }
+}
+impl std::error::Error for Refused {}
+
+/// What an entry did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// A version is told; its number.
+    Told(Version),
+    /// This proposal was applied before, as this version.
+    Again(Version),
+    /// A step was taken.
+    Stepped(Step),
+}
+
+/// A version with its fields.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settings {
+    /// Its number.
+    pub version: Version,
+    /// Its fields.
+    pub fields: Fields,
+    /// Why it was proposed.
+    pub why: String,
+    /// The proposal's id.
+    pub id: u64,
+}
+
+/// What all front ends act on: what a lease is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The fleet's step.
+    pub step: Step,
+    /// In force, or in force until the change under way ends.
+    pub force: Settings,
+    /// The change under way.
+    pub next: Option<(Settings, Phase)>,
+}
+
+impl State {
+    /// The rules of this step.
+    pub fn rules(&self, schema: &Schema) -> Rules {
+        match &self.next {
+            Some((next, Phase::Joint)) => joint(schema, &self.force.fields, &next.fields),
+            _ => Rules::of(&self.force.fields),
+        }
+    }
+
+    /// The latest version, whether in force or not.
+    pub fn latest(&self) -> Version {
+        self.next.as_ref().map_or(self.force.version, |(n, _)| n.version)
+    }
+
+    /// What the change under way touches in a way that is felt.
+    pub fn contested(&self, schema: &Schema) -> Vec<Change> {
+        let next = self.next.as_ref().map(|(n, _)| &n.fields);
+        let all = next.map_or_else(Vec::new, |n| changes(schema, &self.force.fields, n));
+        all.into_iter().filter(|c| c.kind != Kind::Free).collect()
+    }
+}
+
+/// Versions that are remembered for `history` and `revert`.
+pub const KEPT: usize = 256;
+
+/// The outcome of all entries so far.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Log {
+    state: State,
+    given: Version,
+    past: VecDeque<Settings>,
+}
+
+impl Log {
+    /// A fleet that begins with these fields as its first version.
+    pub fn new(fields: Fields) -> Log {
+        let force = Settings { version: Version(1), fields, why: "the first".into(), id: 0 };
+        let past = VecDeque::from([force.clone()]);
+        Log { state: State { step: Step(1), force, next: None }, given: Version(1), past }
+    }
+
+    /// What is to be acted on.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Versions so far, the oldest first, given up ones among them.
+    pub fn history(&self) -> impl Iterator<Item = &Settings> {
+        self.past.iter()
+    }
+
+    /// Whether the change under way has a step to take, once all have reached the one before it.
+    pub fn unsettled(&self) -> bool {
+        self.state.next.is_some()
+    }
+
+    /// Applies one entry. What it returns depends on the entries alone, so that every seat finds the same.
+    pub fn apply(&mut self, entry: Entry) -> Result<Applied, Refused> {
+        match entry {
+            Entry::Propose { id, base, fields, why } => self.propose(id, base, fields, why),
+            Entry::Advance { from } if from != self.state.step => Err(Refused::Past),
+            Entry::Advance { .. } => self.advance(),
+            Entry::Abandon { version } => self.abandon(version),
+        }
+    }
+
+    fn propose(&mut self, id: u64, base: Version, fields: Fields, why: String) -> Result<Applied, Refused> {
+        if let Some(known) = self.past.iter().find(|s| s.id == id && id != 0) {
+            return Ok(Applied::Again(known.version));
+        }
+        match &self.state.next {
+            Some((next, _)) => return Err(Refused::Busy { with: next.version }),
+            None if base != self.state.force.version => {
+                return Err(Refused::Base { latest: self.state.force.version })
+            }
+            None if fields == self.state.force.fields => return Err(Refused::Same),
+            None => {}
+        }
+        self.given = Version(self.given.0 + 1);
+        let next = Settings { version: self.given, fields, why, id };
+        self.past.push_back(next.clone());
+        if self.past.len() > KEPT {
+            self.past.pop_front();
+        }
+        self.state.next = Some((next, Phase::Told));
+        self.state.step = self.state.step.next();
+        Ok(Applied::Told(self.given))
+    }
+
+    fn advance(&mut self) -> Result<Applied, Refused> {
+        let Some((next, phase)) = self.state.next.take() else { return Err(Refused::Past) };
+        match phase {
+            Phase::Told => self.state.next = Some((next, Phase::Joint)),
+            Phase::Joint => self.state.force = next,
+            Phase::Back => {}
+        }
+        self.state.step = self.state.step.next();
+        Ok(Applied::Stepped(self.state.step))
+    }
+
+    /// From told on nobody acts on it yet; from joint on all have to be back before another change may begin.
+    fn abandon(&mut self, version: Version) -> Result<Applied, Refused> {
+        let Some((_, phase)) = self.state.next.as_mut().filter(|(n, _)| n.version == version) else {
+            return Err(Refused::Over);
+        };
+        match phase {
+            Phase::Told => self.state.next = None,
+            Phase::Joint => *phase = Phase::Back,
+            Phase::Back => return Err(Refused::Over),
+        }
+        self.state.step = self.state.step.next();
+        Ok(Applied::Stepped(self.state.step))
+    }
+}
--- /dev/null
+++ b/decide/agree/src/member.rs
@@ -0,0 +1,306 @@
+//! A front end's part in the fleet: it holds a lease, lends it on to those below it, and says what it acts on.
+//!
+//! Parents are chosen without asking anyone: each orders the members that it knows by one hash, the seat first, and asks
+//! the one that stands where its own place divided by [`FAN`] points. So the seat answers [`FAN`] front ends however large
+//! the fleet is, and a step reaches all over a few links. Views may differ: a lease that goes round in a ring can only
+//! shrink, and who sees its lease shrink, or hears nothing, asks one nearer to the seat.
+
+use crate::lease::{Ask, Grant, Granter, Holder, Member, Stepped, Terms, Time};
+use crate::log::Step;
+use std::collections::BTreeMap;
+
+/// Front ends that one grants leases to.
+pub const FAN: usize = 8;
+/// Those it lets in beside them, while their own parents are away or views differ. Its own are never kept out by these: a
+/// seat that whoever has no parent yet could fill would keep out the very ones that would be parents.
+const MORE: usize = 2 * FAN;
+/// Asks in a lease's length.
+const ASKS_A_SPAN: i64 = 4;
+
+/// What passes between two members.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Message<S> {
+    /// For a lease.
+    Ask(Ask),
+    /// A lease.
+    Grant(Grant<S>),
+    /// A step was taken: ask for it.
+    Step(Step),
+    /// To one that granted a lease before another did: what an ask tells, without asking.
+    Reached {
+        /// Who tells.
+        from: Member,
+        /// No live lease below it, nor its own, is for a step before this one.
+        at: Step,
+    },
+}
+
+/// The members that one knows, the seat among them, in the order that all would find.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    ranked: Vec<u64>,
+}
+
+impl View {
+    /// Of these names, the seat's first.
+    pub fn new(seat: u64, names: impl IntoIterator<Item = u64>) -> View {
+        let mut others: Vec<u64> = names.into_iter().filter(|n| *n != seat).collect();
+        others.sort_by_key(|n| (spread(*n), *n));
+        others.dedup();
+        View { ranked: std::iter::once(seat).chain(others).collect() }
+    }
+
+    /// Whom a member asks, at its n-th choice in a row: its parent, that one's parent, and so on up to the seat.
+    pub fn parent(&self, me: u64, choice: u32) -> Option<u64> {
+        let mut place = self.ranked.iter().position(|n| *n == me)?;
+        for _ in 0..=choice {
+            place = place.checked_sub(1)? / FAN;
+            if place == 0 {
+                break;
+            }
+        }
+        self.ranked.get(place).copied()
+    }
+}
+
+/// Spreads names over the order.
+fn spread(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// One front end, or the seat of a fleet that has one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Front<S> {
+    terms: Terms,
+    me: Member,
+    view: View,
+    right: Right<S>,
+    granter: Granter,
+    next_ask: Time,
+    /// Incarnations that it heard last by a name; it answers and tells these.
+    heard: BTreeMap<u64, u64>,
+    /// The step that it told the one above last.
+    told: Step,
+    /// Who granted to it lately, and when last: those wait for what it reaches until that lease is out.
+    granted: BTreeMap<u64, Time>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Right<S> {
+    /// The seat's own: what the log says, for as long as it holds the seat.
+    Seat { state: S, until: Time },
+    /// One lent by a parent, at the n-th choice.
+    Lent { holder: Holder<S>, choice: u32, unanswered: u32 },
+}
+
+/// Asks unanswered after which the next nearer to the seat is asked.
+const PATIENCE: u32 = 2;
+
+impl<S: Stepped> Front<S> {
+    /// A front end that starts from nothing.
+    pub fn new(terms: Terms, me: Member, view: View, now: Time) -> Front<S> {
+        let right = Right::Lent { holder: Holder::new(terms, me), choice: 0, unanswered: 0 };
+        let granter = Granter::new(terms, FAN + MORE, None);
+        Front {
+            terms,
+            me,
+            view,
+            right,
+            granter,
+            next_ask: now,
+            heard: BTreeMap::new(),
+            told: Step(0),
+            granted: BTreeMap::new(),
+        }
+    }
+
+    /// The seat, with what its log says. It takes no step that changes rules before all that an earlier process of it may
+    /// have granted is out.
+    pub fn seat(terms: Terms, me: Member, view: View, state: S, until: Time, now: Time) -> Front<S> {
+        let right = Right::Seat { state, until };
+        let granter = Granter::new(terms, FAN + MORE, Some(now));
+        Front {
+            terms,
+            me,
+            view,
+            right,
+            granter,
+            next_ask: now,
+            heard: BTreeMap::new(),
+            told: Step(0),
+            granted: BTreeMap::new(),
+        }
+    }
+
+    /// Who it is.
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
+    /// Other members are known now.
+    pub fn knows(&mut self, view: View) {
+        if let (Right::Lent { choice, unanswered, .. }, true) = (&mut self.right, self.view != view) {
+            (*choice, *unanswered) = (0, 0);
+        }
+        self.view = view;
+    }
+
+    /// What it acts on at this time; none: it holds no live lease, and acts by [`crate::rule::lapsed`].
+    pub fn acts(&self, now: Time) -> Option<&S> {
+        match &self.right {
+            Right::Seat { state, until } => Some(state).filter(|_| now < *until),
+            Right::Lent { holder, .. } => holder.acts(now),
+        }
+    }
+
+    /// What it knows last.
+    pub fn known(&self) -> Option<&S> {
+        match &self.right {
+            Right::Seat { state, .. } => Some(state),
+            Right::Lent { holder, .. } => holder.known(),
+        }
+    }
+
+    /// What is left of its right to act, and to lend.
+    pub fn left(&self, now: Time) -> i64 {
+        match &self.right {
+            Right::Seat { until, .. } => until.saturating_sub(now).max(0),
+            Right::Lent { holder, .. } => holder.left(now),
+        }
+    }
+
+    /// Whether no live lease of the fleet is for a step before this one; only the seat can say, and of the step alone that
+    /// it acts on itself: its log may be ahead of it.
+    pub fn reached(&self, now: Time, step: Step) -> bool {
+        matches!(&self.right, Right::Seat { state, .. } if state.step() == step)
+            && self.granter.reached(now, step)
+    }
+
+    /// The seat's log has taken a step.
+    pub fn stepped(&mut self, now: Time, new: S, out: &mut Vec<(u64, Message<S>)>) {
+        if let Right::Seat { state, .. } = &mut self.right {
+            *state = new;
+        }
+        self.tell(now, out);
+    }
+
+    /// Tells those below that there is a step to ask for.
+    fn tell(&self, now: Time, out: &mut Vec<(u64, Message<S>)>) {
+        if let Some(step) = self.known().map(Stepped::step) {
+            out.extend(self.granter.children(now).map(|m| (m.id, Message::Step(step))));
+        }
+    }
+
+    /// What time brings: asks.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<(u64, Message<S>)>) {
+        if now >= self.next_ask {
+            self.ask(now, out);
+        }
+    }
+
+    /// When [`Front::tick`] has something to do.
+    pub fn next(&self) -> Time {
+        match self.right {
+            Right::Seat { .. } => Time::MAX,
+            Right::Lent { .. } => self.next_ask,
+        }
+    }
+
+    fn ask(&mut self, now: Time, out: &mut Vec<(u64, Message<S>)>) {
+        let Right::Lent { holder, choice, unanswered } = &mut self.right else { return };
+        let out_after = 2 * self.terms.span;
+        self.granted.retain(|_, at| now.saturating_sub(*at) < out_after);
+        self.next_ask = now.saturating_add(self.terms.span / ASKS_A_SPAN);
+        if *unanswered >= PATIENCE {
+            (*choice, *unanswered) = (choice.saturating_add(1), 0);
+        }
+        let mut parent = self.view.parent(self.me.id, *choice);
+        if parent.is_none() {
+            // Round again from its own parent: the seat is gone for now, or it isn't in its own view.
+            *choice = 0;
+            parent = self.view.parent(self.me.id, 0);
+        }
+        let Some(parent) = parent else { return };
+        *unanswered += 1;
+        let ask = holder.ask(now, self.granter.least(now));
+        self.told = ask.at;
+        out.push((parent, Message::Ask(ask)));
+        let others = self.granted.keys().filter(|g| **g != parent);
+        out.extend(others.map(|g| (*g, Message::Reached { from: ask.from, at: ask.at })));
+        // Who had to go further up asks its own parent all the while, and goes back to it once it grants.
+        let own = self.view.parent(self.me.id, 0).filter(|p| *choice > 0 && *p != parent);
+        out.extend(own.map(|p| (p, Message::Ask(holder.ask(now, self.granter.least(now))))));
+    }
+
+    /// Takes a message from a member of this name.
+    pub fn hear(&mut self, now: Time, from: u64, message: Message<S>, out: &mut Vec<(u64, Message<S>)>) {
+        match message {
+            Message::Ask(ask) if ask.from.id == from && ask.from.incarnation >= self.heard(from) => {
+                self.heard.insert(from, ask.from.incarnation);
+                if self.heard.len() > 4 * MORE {
+                    let live: Vec<u64> = self.granter.children(now).map(|m| m.id).collect();
+                    self.heard.retain(|id, _| live.contains(id));
+                }
+                let own = self.view.parent(from, 0) == Some(self.me.id);
+                let strange = |m: &Member| *m != ask.from && self.view.parent(m.id, 0) != Some(self.me.id);
+                if !own && self.granter.children(now).filter(strange).count() >= MORE {
+                    return;
+                }
+                let left = self.left(now);
+                let state = match &self.right {
+                    Right::Seat { state, .. } => Some(state),
+                    Right::Lent { holder, .. } => holder.known(),
+                };
+                let grant = state.and_then(|s| self.granter.grant(now, &ask, s, left));
+                out.extend(grant.map(|g| (from, Message::Grant(g))));
+                self.came_as_far(now, out);
+            }
+            Message::Ask(_) => {}
+            Message::Reached { from: member, at } if member.id == from => {
+                self.granter.told(member, at);
+                self.came_as_far(now, out);
+            }
+            Message::Reached { .. } => {}
+            Message::Grant(grant) => {
+                let Right::Lent { holder, choice, unanswered } = &mut self.right else { return };
+                *unanswered = 0;
+                self.granted.insert(from, now);
+                let before = holder.left(now);
+                let later = holder.granted(grant);
+                // A lease that doesn't grow any more is lent out of one that isn't renewed, or goes round in a ring.
+                let poor = holder.left(now) < self.terms.span / 2;
+                if poor && holder.left(now) <= before {
+                    *choice = choice.saturating_add(1);
+                } else if !poor && holder.left(now) > before && self.view.parent(self.me.id, 0) == Some(from)
+                {
+                    *choice = 0;
+                }
+                if later {
+                    self.tell(now, out);
+                    // The step is reached here, which the one above waits for.
+                    self.ask(now, out);
+                }
+            }
+            Message::Step(step) => {
+                if self.known().is_none_or(|s| s.step() < step) {
+                    self.ask(now, out);
+                }
+            }
+        }
+    }
+
+    /// When the last one below has come as far as this one, the one above is told at once: it waits for that.
+    fn came_as_far(&mut self, now: Time, out: &mut Vec<(u64, Message<S>)>) {
+        let own = self.known().map_or(Step(0), Stepped::step);
+        let at = self.granter.least(now).map_or(own, |l| l.min(own));
+        if at > self.told {
+            self.ask(now, out);
+        }
+    }
+
+    fn heard(&self, name: u64) -> u64 {
+        self.heard.get(&name).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/decide/agree/src/rule.rs
@@ -0,0 +1,376 @@
+//! What a field of the settings means to calls while two versions of it are about.
+
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A field's value, as the settings hold it once they are read.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Value {
+    /// Yes or no.
+    Flag(bool),
+    /// A whole number, a duration in microseconds or a size in bytes.
+    Int(i64),
+    /// A number.
+    Number(f64),
+    /// A name or a choice.
+    Text(String),
+    /// Several, in their order.
+    List(Vec<Value>),
+}
+
+impl Value {
+    /// A total order over all values: numbers by size whatever their form, else by sort, then by content.
+    fn compare(&self, other: &Value) -> Ordering {
+        let sort = |v: &Value| match v {
+            Value::Flag(_) => 0,
+            Value::Int(_) | Value::Number(_) => 1,
+            Value::Text(_) => 2,
+            Value::List(_) => 3,
+        };
+        match (self, other) {
+            (Value::Flag(a), Value::Flag(b)) => a.cmp(b),
+            (Value::Int(a), Value::Int(b)) => a.cmp(b),
+            (Value::Int(a), Value::Number(b)) => (*a as f64).total_cmp(b),
+            (Value::Number(a), Value::Int(b)) => a.total_cmp(&(*b as f64)),
+            (Value::Number(a), Value::Number(b)) => a.total_cmp(b),
+            (Value::Text(a), Value::Text(b)) => a.cmp(b),
+            (Value::List(a), Value::List(b)) => {
+                let first = a.iter().zip(b).map(|(a, b)| a.compare(b)).find(|o| o.is_ne());
+                first.unwrap_or_else(|| a.len().cmp(&b.len()))
+            }
+            _ => sort(self).cmp(&sort(other)),
+        }
+    }
+}
+
+impl PartialEq for Value {
+    fn eq(&self, other: &Value) -> bool {
+        self.compare(other).is_eq()
+    }
+}
+impl Eq for Value {}
+impl PartialOrd for Value {
+    fn partial_cmp(&self, other: &Value) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Value {
+    fn cmp(&self, other: &Value) -> Ordering {
+        self.compare(other)
+    }
+}
+
+/// Which of two values binds more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stricter {
+    /// The smaller: limits, windows, budgets; of flags that allow something, `false`.
+    Least,
+    /// The larger: counts that a budget is divided by, times to go easy.
+    Most,
+    /// The one named first here. What is not named binds most of all, so that a value of a newer schema is safe.
+    First(&'static [&'static str]),
+}
+
+impl Stricter {
+    /// The order from what binds most.
+    fn order(self, a: &Value, b: &Value) -> Ordering {
+        match self {
+            Stricter::Least => a.cmp(b),
+            Stricter::Most => b.cmp(a),
+            Stricter::First(names) => {
+                let place = |v: &Value| match v {
+                    Value::Text(t) => names.iter().position(|n| n == t).map_or(-1, |p| p as isize),
+                    _ => -1,
+                };
+                place(a).cmp(&place(b)).then_with(|| a.cmp(b))
+            }
+        }
+    }
+
+    /// The one of two that binds more. A field left out binds nothing.
+    pub fn of<'a>(self, a: Option<&'a Value>, b: Option<&'a Value>) -> Option<&'a Value> {
+        match (a, b) {
+            (Some(a), Some(b)) => Some(if self.order(a, b).is_le() { a } else { b }),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Whether the first binds at least as much as the second.
+    pub fn binds(self, a: Option<&Value>, b: Option<&Value>) -> bool {
+        match (a, b) {
+            (_, None) => true,
+            (None, Some(_)) => false,
+            (Some(a), Some(b)) => self.order(a, b).is_le(),
+        }
+    }
+}
+
+/// What a front end does with a field when its lease ran out, so that it contradicts no version that it can't know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lapsed {
+    /// It takes the value that binds most of all that may ever be set.
+    Strictest(Value),
+    /// It refuses the calls that the field touches.
+    Refuse,
+}
+
+/// How a field agrees.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Old and new side by side are harmless.
+    Free,
+    /// While both may be about, the one that binds more holds.
+    Joint(Stricter, Lapsed),
+    /// Never both: meanwhile the calls that it touches are refused.
+    Strict,
+}
+
+/// The calls that a field touches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Touch {
+    /// Every call.
+    All,
+    /// Calls of a class.
+    Class(String),
+    /// Calls of a tenant.
+    Tenant(String),
+    /// Calls of a function.
+    Function(String),
+}
+
+/// A call, as far as rules tell calls apart.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Its class.
+    pub class: &'a str,
+    /// Its tenant.
+    pub tenant: &'a str,
+    /// Its function.
+    pub function: &'a str,
+}
+
+impl Touch {
+    /// Whether this call is among them.
+    pub fn touches(&self, call: Call<'_>) -> bool {
+        match self {
+            Touch::All => true,
+            Touch::Class(c) => c == call.class,
+            Touch::Tenant(t) => t == call.tenant,
+            Touch::Function(f) => f == call.function,
+        }
+    }
+
+    fn name(&self) -> Option<&str> {
+        match self {
+            Touch::All => None,
+            Touch::Class(n) | Touch::Tenant(n) | Touch::Function(n) => Some(n),
+        }
+    }
+
+    fn group(&self) -> &'static str {
+        match self {
+            Touch::All => "",
+            Touch::Class(_) => "classes",
+            Touch::Tenant(_) => "tenants",
+            Touch::Function(_) => "functions",
+        }
+    }
+
+    /// By a field's place: what stands under a class, tenant or function touches the calls of that one.
+    fn of(path: &str) -> Touch {
+        let mut parts = path.splitn(3, '.');
+        match (parts.next(), parts.next(), parts.next()) {
+            (Some("classes"), Some(c), Some(_)) => Touch::Class(c.into()),
+            (Some("tenants"), Some(t), Some(_)) => Touch::Tenant(t.into()),
+            (Some("functions"), Some(f), Some(_)) => Touch::Function(f.into()),
+            _ => Touch::All,
+        }
+    }
+}
+
+/// Fields of the settings by their path, such as `classes.chat.window`. Names with dots in them are written quoted by
+/// who flattens the settings and are not taken apart here beyond the second dot.
+pub type Fields = BTreeMap<String, Value>;
+
+/// How each field agrees, by patterns of paths in which `*` stands for one name. The first that fits holds; a field
+/// that no pattern fits is strict for all calls, so that what a newer program adds is never taken lightly.
+#[derive(Clone, Debug, Default)]
+pub struct Schema {
+    patterns: Vec<(Vec<String>, Kind)>,
+}
+
+impl Schema {
+    /// A schema of these patterns.
+    pub fn new<'a>(patterns: impl IntoIterator<Item = (&'a str, Kind)>) -> Schema {
+        let split = |p: &str| p.split('.').map(String::from).collect();
+        Schema { patterns: patterns.into_iter().map(|(p, k)| (split(p), k)).collect() }
+    }
+
+    /// How the field at this path agrees.
+    pub fn kind(&self, path: &str) -> &Kind {
+        let fits = |pattern: &[String]| {
+            let mut names = path.splitn(pattern.len(), '.');
+            pattern.iter().all(|p| names.next().is_some_and(|n| p == "*" || p == n))
+        };
+        self.patterns.iter().find(|(p, _)| fits(p)).map_or(&Kind::Strict, |(_, k)| k)
+    }
+}
+
+/// Rules that a front end acts on: values, and the calls that it refuses meanwhile.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rules {
+    /// The values in use.
+    pub fields: Fields,
+    /// Calls that no version agrees on.
+    pub refused: BTreeSet<Touch>,
+    /// Whether calls that name a class, tenant or function of which no field is known are refused as well: a version
+    /// that can't be known may have it.
+    pub unlisted: bool,
+}
+
+impl Rules {
+    /// Those of one version alone.
+    pub fn of(fields: &Fields) -> Rules {
+        Rules { fields: fields.clone(), ..Rules::default() }
+    }
+
+    /// Whether this call is refused.
+    pub fn refuses(&self, call: Call<'_>) -> bool {
+        let named = [
+            Touch::Class(call.class.into()),
+            Touch::Tenant(call.tenant.into()),
+            Touch::Function(call.function.into()),
+        ];
+        let unknown = |t: &Touch| !t.name().is_some_and(str::is_empty) && !self.lists(t);
+        self.refused.iter().any(|t| t.touches(call)) || self.unlisted && named.iter().any(unknown)
+    }
+
+    /// Whether some field stands under what this names.
+    fn lists(&self, touch: &Touch) -> bool {
+        let (group, Some(name)) = (touch.group(), touch.name()) else { return true };
+        let under = format!("{group}.{name}.");
+        self.fields.range(under.clone()..).next().is_some_and(|(p, _)| p.starts_with(&under))
+    }
+
+    /// Whether every call that this names is refused.
+    fn out(&self, touch: &Touch) -> bool {
+        self.refused.contains(touch)
+            || self.refused.contains(&Touch::All)
+            || self.unlisted && !self.lists(touch)
+    }
+}
+
+/// One field that differs between two versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Where it stands.
+    pub path: String,
+    /// Its value before; none: left out.
+    pub old: Option<Value>,
+    /// And after.
+    pub new: Option<Value>,
+    /// How it agrees.
+    pub kind: Kind,
+    /// The calls that it touches.
+    pub touch: Touch,
+}
+
+/// What differs between two versions, in the paths' order.
+pub fn changes(schema: &Schema, old: &Fields, new: &Fields) -> Vec<Change> {
+    let paths: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let differs = paths.into_iter().filter(|p| old.get(*p) != new.get(*p));
+    let change = |p: &String| Change {
+        path: p.clone(),
+        old: old.get(p).cloned(),
+        new: new.get(p).cloned(),
+        kind: schema.kind(p).clone(),
+        touch: Touch::of(p),
+    };
+    differs.map(change).collect()
+}
+
+/// The rules under which either version may be in force elsewhere: of joint fields the stricter value; calls that a
+/// changed strict field touches are refused; free fields are the newer version's already.
+pub fn joint(schema: &Schema, old: &Fields, new: &Fields) -> Rules {
+    let mut rules = Rules::of(new);
+    for c in changes(schema, old, new) {
+        match c.kind {
+            Kind::Free => {}
+            Kind::Joint(by, _) => {
+                let held = by.of(c.old.as_ref(), c.new.as_ref()).cloned();
+                rules.fields.extend(held.map(|v| (c.path, v)));
+            }
+            Kind::Strict => {
+                rules.refused.insert(c.touch);
+            }
+        }
+    }
+    rules
+}
+
+/// The rules of a front end that can't know what is in force by now: free fields as they were, joint ones at the value
+/// that binds most, calls that any other field touches refused, and so are calls of what is not known at all.
+pub fn lapsed(schema: &Schema, known: &Fields) -> Rules {
+    let mut rules = Rules { unlisted: true, ..Rules::of(known) };
+    // What was left out may be set by now, in general or under any name that is known.
+    let names: BTreeSet<(&str, &str)> = known
+        .keys()
+        .filter_map(|p| {
+            let mut parts = p.splitn(3, '.');
+            Some((parts.next()?, parts.next()?)).filter(|_| parts.next().is_some())
+        })
+        .collect();
+    for (pattern, kind) in &schema.patterns {
+        let paths: Vec<String> = match pattern.as_slice() {
+            [group, any, field] if any == "*" => {
+                let under = names.iter().filter(|(g, _)| g == group);
+                under.map(|(g, name)| format!("{g}.{name}.{field}")).collect()
+            }
+            all if all.iter().all(|n| n != "*") => vec![all.join(".")],
+            _ => Vec::new(),
+        };
+        for path in paths.into_iter().filter(|p| schema.kind(p) == kind) {
+            match kind {
+                Kind::Free => {}
+                Kind::Joint(_, Lapsed::Strictest(least)) => {
+                    rules.fields.entry(path).or_insert_with(|| least.clone());
+                }
+                Kind::Joint(_, Lapsed::Refuse) | Kind::Strict => {
+                    rules.refused.insert(Touch::of(&path));
+                }
+            }
+        }
+    }
+    for (path, value) in &mut rules.fields {
+        match schema.kind(path) {
+            Kind::Free => {}
+            Kind::Joint(by, Lapsed::Strictest(least)) => {
+                *value = by.of(Some(value), Some(least)).unwrap_or(least).clone();
+            }
+            Kind::Joint(_, Lapsed::Refuse) | Kind::Strict => {
+                rules.refused.insert(Touch::of(path));
+            }
+        }
+    }
+    rules
+}
+
+/// A field on which two front ends contradict each other, with the calls that it touches at both: a strict one with two
+/// values, or a joint one of which neither is in force where the other binds less than the version in force allows.
+///
+/// `force` is what is in force by the agreed log; a front end may always bind more than that, never less.
+pub fn contradictions(schema: &Schema, force: &Fields, acting: &Rules) -> Vec<(String, Touch)> {
+    let paths: BTreeSet<&String> = force.keys().chain(acting.fields.keys()).collect();
+    let wrong = |p: &&String| {
+        let (ours, theirs) = (acting.fields.get(*p), force.get(*p));
+        let touch = Touch::of(p);
+        !acting.out(&touch)
+            && match schema.kind(p) {
+                Kind::Free => false,
+                Kind::Joint(by, _) => !by.binds(ours, theirs),
+                Kind::Strict => ours != theirs,
+            }
+    };
+    paths.into_iter().filter(wrong).map(|p| (p.clone(), Touch::of(p))).collect()
+}
--- /dev/null
+++ b/model/src/agree.rs
@@ -0,0 +1,689 @@
+//! Versions of settings over a fleet with one seat, through faults.
+//!
+//! What is judged is what each front end would act on at every moment, against what the seat's disk holds, with all clocks
+//! at rates of their own. The model knows the true time; no front end does.
+
+use crate::fault::{draw, shrink, Fault, Time, SECOND};
+use crate::net::{Net, Ways};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use tansy_agree::lease::{Member, Terms};
+use tansy_agree::log::{Entry, Log, Phase, State, Version};
+use tansy_agree::member::{Front, Message, View};
+use tansy_agree::rule::{contradictions, lapsed, Fields, Kind, Lapsed, Rules, Schema, Stricter, Value};
+
+/// A mistake planted into a run, to see that the audit finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Plant {
+    /// A lease is counted from its answer, not from before it was asked for.
+    CountedFromAnswer,
+    /// A version takes force without the joint step.
+    NoJoint,
+    /// A seat that starts again doesn't wait for the leases of its process before.
+    NoWait,
+    /// A seat tells what its disk doesn't hold yet.
+    Unsynced,
+    /// A clock's rate is off by far more than the bound.
+    WildClock,
+}
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// Front ends, the seat among them.
+    pub fronts: usize,
+    /// Length of a lease and bound on clock rates.
+    pub terms: Terms,
+    /// Faults are over by then; the run ends [`Play::calm`] later.
+    pub until: Time,
+    /// Time that all have to agree again.
+    pub calm: Time,
+    /// Changes proposed.
+    pub changes: usize,
+    /// How messages travel.
+    pub ways: Ways,
+    /// A mistake.
+    pub plant: Option<Plant>,
+    /// Nothing goes wrong but that messages are late, lost or doubled now and then.
+    pub quiet: bool,
+}
+
+impl Play {
+    /// A fleet of this size, with leases of 0.6 s.
+    pub fn of(fronts: usize) -> Play {
+        Play {
+            fronts,
+            terms: Terms { span: SECOND * 6 / 10, ppm: 1_000 },
+            until: 40 * SECOND,
+            calm: 10 * SECOND,
+            changes: 12,
+            ways: Ways::default(),
+            plant: None,
+            quiet: false,
+        }
+    }
+}
+
+/// How a run went.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Outcome {
+    /// Its seed.
+    pub seed: u64,
+    /// What broke, at its time; empty: nothing.
+    pub broken: Vec<String>,
+    /// Versions that came into force.
+    pub in_force: u64,
+    /// From a proposal to force at every front end that can be reached, milliseconds each.
+    pub force_ms: Vec<u64>,
+    /// Share of front ends' time up in which they held no live lease.
+    pub lapsed: f64,
+    /// Messages a front end a second.
+    pub messages: f64,
+    /// Bytes a front end a second, as estimated by [`size`].
+    pub bytes: f64,
+    /// Messages that the seat had to do with, a second.
+    pub seat_messages: f64,
+}
+
+/// How the fields of the played settings agree.
+fn schema() -> Schema {
+    let least = |v| Kind::Joint(Stricter::Least, Lapsed::Strictest(v));
+    Schema::new([
+        ("worker.max_attempts", least(Value::Int(1))),
+        ("worker.fall_multiple", least(Value::Number(1.0))),
+        ("front.siblings", Kind::Joint(Stricter::Most, Lapsed::Strictest(Value::Int(100_000)))),
+        ("classes.*.effect", {
+            let order = Stricter::First(&["unsafe", "keyed", "safe"]);
+            Kind::Joint(order, Lapsed::Strictest(Value::Text("unsafe".into())))
+        }),
+        ("classes.*.aim", Kind::Free),
+        ("classes.*.group", Kind::Strict),
+        ("tenants.*.quota", Kind::Joint(Stricter::Least, Lapsed::Refuse)),
+    ])
+}
+
+fn first() -> Fields {
+    let text = |t: &str| Value::Text(t.into());
+    let all = [
+        ("worker.max_attempts", Value::Int(4)),
+        ("worker.fall_multiple", Value::Number(2.0)),
+        ("front.siblings", Value::Int(300)),
+        ("classes.chat.effect", text("safe")),
+        ("classes.chat.aim", Value::Int(800_000)),
+        ("classes.chat.group", text("all")),
+        ("classes.pay.effect", text("keyed")),
+        ("classes.pay.aim", Value::Int(900_000)),
+        ("classes.pay.group", text("zone")),
+        ("tenants.acme.quota", Value::Int(100)),
+    ];
+    all.into_iter().map(|(p, v)| (p.to_string(), v)).collect()
+}
+
+/// One to three fields of a version, changed.
+fn changed(rng: &mut fastrand::Rng, from: &Fields) -> Fields {
+    let mut fields = from.clone();
+    for _ in 0..rng.usize(1..4) {
+        let places: Vec<String> = fields.keys().cloned().collect();
+        let path = places[rng.usize(0..places.len())].clone();
+        let new = match path.rsplit('.').next().unwrap_or("") {
+            "effect" => Value::Text(["safe", "keyed", "unsafe"][rng.usize(0..3)].into()),
+            "group" => Value::Text(["all", "zone", "cell"][rng.usize(0..3)].into()),
+            "fall_multiple" => Value::Number(1.0 + rng.f64() * 3.0),
+            _ => Value::Int(rng.i64(1..500)),
+        };
+        fields.insert(path, new);
+    }
+    if rng.u32(0..6) == 0 && fields.remove("tenants.acme.quota").is_none() {
+        fields.insert("tenants.acme.quota".into(), Value::Int(rng.i64(1..100)));
+    }
+    fields
+}
+
+/// About what a message takes on a link, bytes: fixed parts as they are, a state as its fields' text.
+pub fn size(message: &Message<State>) -> usize {
+    let fields = |f: &Fields| f.keys().map(|p| p.len() + 12).sum::<usize>();
+    match message {
+        Message::Ask(_) => 40,
+        Message::Step(_) => 12,
+        Message::Reached { .. } => 28,
+        Message::Grant(g) => {
+            let state = g.state.as_ref();
+            let next = state.and_then(|s| s.next.as_ref()).map_or(0, |(n, _)| fields(&n.fields));
+            48 + state.map_or(0, |s| fields(&s.force.fields)) + next
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Message { to: usize, from: usize, message: Message<State> },
+    Tick { who: usize, incarnation: u64 },
+    Start { who: usize },
+    Stop { who: usize },
+    Wake { who: usize },
+    Propose,
+    Abandon,
+    Synced { incarnation: u64, entries: usize },
+}
+
+/// A process, or the place of one.
+struct Process {
+    front: Option<Front<State>>,
+    incarnation: u64,
+    /// Messages that came while it was stopped.
+    stopped: Option<Vec<(usize, Message<State>)>>,
+    /// Its clock: local time is `offset + rate` times the true one.
+    rate: f64,
+    offset: Time,
+    /// The tick that is planned.
+    planned: Time,
+    up_since: Time,
+    up: Time,
+    out: Time,
+    seen: Time,
+    /// When it last held a lease.
+    live: Time,
+}
+
+impl Process {
+    fn local(&self, now: Time) -> Time {
+        self.offset + (now as f64 * self.rate) as Time
+    }
+    fn runs(&self) -> bool {
+        self.front.is_some() && self.stopped.is_none()
+    }
+}
+
+/// The seat's disk: what it holds for sure, and what was written and may be lost.
+struct Disk {
+    log: Log,
+    written: Vec<Entry>,
+    synced: usize,
+}
+
+struct Run<'a> {
+    play: &'a Play,
+    rng: fastrand::Rng,
+    net: Net,
+    now: Time,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    numbers: u64,
+    all: Vec<Process>,
+    disk: Disk,
+    /// What the seat's process takes its log to be.
+    told: Log,
+    schema: Schema,
+    view: View,
+    judged: BTreeSet<(u64, u64, bool)>,
+    proposed: BTreeMap<Version, Time>,
+    waiting: Option<(Version, Time)>,
+    outcome: Outcome,
+    sent: u64,
+    sent_bytes: u64,
+    sent_seat: u64,
+}
+
+/// Plays one run.
+pub fn run(play: &Play, seed: u64) -> Outcome {
+    with(play, seed, &faults(play, seed))
+}
+
+/// The faults of a run.
+pub fn faults(play: &Play, seed: u64) -> Vec<Fault> {
+    if play.quiet {
+        return Vec::new();
+    }
+    draw(&mut fastrand::Rng::with_seed(seed), play.fronts, play.until)
+}
+
+/// The shortest script of faults with which a run breaks as it does.
+pub fn script(play: &Play, seed: u64) -> Vec<Fault> {
+    shrink(faults(play, seed), |f| !with(play, seed, f).broken.is_empty())
+}
+
+/// Plays one run with these faults.
+pub fn with(play: &Play, seed: u64, faults: &[Fault]) -> Outcome {
+    let mut run = Run::new(play, seed, faults);
+    let end = play.until + play.calm;
+    while let Some(Reverse((at, number))) = run.queue.pop() {
+        if at > end || run.outcome.broken.len() > 4 {
+            break;
+        }
+        run.now = at;
+        if let Some(event) = run.events.remove(&number) {
+            run.on(event);
+        }
+    }
+    run.now = end;
+    run.close()
+}
+
+impl<'a> Run<'a> {
+    fn new(play: &'a Play, seed: u64, faults: &[Fault]) -> Run<'a> {
+        let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
+        let wild = play.plant == Some(Plant::WildClock);
+        let all = (0..play.fronts).map(|_| {
+            let bound = if wild { 0.4 } else { play.terms.ppm as f64 / 1e6 };
+            Process {
+                front: None,
+                incarnation: 0,
+                stopped: None,
+                rate: 1.0 + (rng.f64() * 2.0 - 1.0) * bound,
+                offset: rng.i64(0..1000 * SECOND),
+                planned: Time::MAX,
+                up_since: 0,
+                up: 0,
+                out: 0,
+                seen: 0,
+                live: 0,
+            }
+        });
+        let all = all.collect();
+        let log = Log::new(first());
+        let mut run = Run {
+            play,
+            net: Net::new(play.ways, faults),
+            now: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            numbers: 0,
+            all,
+            disk: Disk { log: log.clone(), written: Vec::new(), synced: 0 },
+            told: log,
+            schema: schema(),
+            view: View::new(0, 0..play.fronts as u64),
+            judged: BTreeSet::new(),
+            proposed: BTreeMap::new(),
+            waiting: None,
+            outcome: Outcome { seed, ..Outcome::default() },
+            sent: 0,
+            sent_bytes: 0,
+            sent_seat: 0,
+            rng,
+        };
+        for who in 0..play.fronts {
+            let at = run.rng.i64(0..SECOND / 2);
+            run.plan(at, Event::Start { who });
+        }
+        for f in faults {
+            match *f {
+                Fault::Kill { who, at, away } => {
+                    run.plan(at, Event::Stop { who });
+                    run.plan(at + away, Event::Start { who });
+                }
+                Fault::Pause { who, at, away } => {
+                    // A pause is told from a kill by its wake.
+                    run.plan(at, Event::Message { to: who, from: usize::MAX, message: Message::Step(PAUSE) });
+                    run.plan(at + away, Event::Wake { who });
+                }
+                _ => {}
+            }
+        }
+        for _ in 0..play.changes {
+            let at = run.rng.i64(SECOND..play.until + play.calm / 4);
+            run.plan(at, Event::Propose);
+            if run.rng.u32(0..5) == 0 {
+                let later = run.rng.i64(0..SECOND);
+                run.plan(at + later, Event::Abandon);
+            }
+        }
+        run
+    }
+
+    fn plan(&mut self, at: Time, event: Event) {
+        self.numbers += 1;
+        self.queue.push(Reverse((at.max(self.now), self.numbers)));
+        self.events.insert(self.numbers, event);
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Message { to, message: Message::Step(PAUSE), .. } => {
+                self.account(to);
+                let p = &mut self.all[to];
+                p.stopped = p.stopped.take().or(Some(Vec::new())).filter(|_| p.front.is_some());
+            }
+            Event::Message { to, from, message } => {
+                if let Some(held) = &mut self.all[to].stopped {
+                    // What the kernel holds for a stopped process is bounded.
+                    if held.len() < 64 {
+                        held.push((from, message));
+                    }
+                } else {
+                    self.hear(to, from, message);
+                }
+            }
+            Event::Tick { who, incarnation } => {
+                if self.all[who].incarnation == incarnation {
+                    self.all[who].planned = Time::MAX;
+                    self.act(who, |front, now, out| front.tick(now, out));
+                }
+            }
+            Event::Start { who } => self.start(who),
+            Event::Stop { who } => {
+                self.account(who);
+                let p = &mut self.all[who];
+                (p.front, p.stopped, p.planned) = (None, None, Time::MAX);
+                if who == 0 {
+                    // What was not synced is lost, or some of it, or none.
+                    let kept = self.rng.usize(0..=self.disk.written.len());
+                    self.disk.written.truncate(kept);
+                    self.sync(kept);
+                }
+            }
+            Event::Wake { who } => {
+                let held = self.all[who].stopped.take().unwrap_or_default();
+                if who == 0 && self.all[0].front.is_some() {
+                    self.catch_up();
+                }
+                for (from, message) in held {
+                    self.hear(who, from, message);
+                }
+                self.act(who, |front, now, out| front.tick(now, out));
+            }
+            Event::Propose => {
+                let (base, from) = (self.told.state().latest(), &self.told.state().force.fields);
+                let fields = changed(&mut self.rng, from);
+                let id = self.rng.u64(1..);
+                self.write(Entry::Propose { id, base, fields, why: "a change".into() });
+            }
+            Event::Abandon => {
+                let next = self.told.state().next.as_ref().map(|(n, _)| n.version);
+                next.into_iter().for_each(|version| self.write(Entry::Abandon { version }));
+            }
+            Event::Synced { incarnation, entries } => {
+                // The disk goes on while the process stands still; that hears of it when it wakes.
+                if self.all[0].incarnation == incarnation && self.all[0].front.is_some() {
+                    self.sync(entries);
+                    self.catch_up();
+                }
+            }
+        }
+        self.go_on();
+    }
+
+    fn start(&mut self, who: usize) {
+        if self.all[who].front.is_some() {
+            return;
+        }
+        let (terms, view, play) = (self.play.terms, self.view.clone(), self.play);
+        let p = &mut self.all[who];
+        p.incarnation += 1;
+        (p.up_since, p.seen) = (self.now, self.now);
+        // A new process has a clock of its own beginning.
+        p.offset = self.rng.i64(0..1000 * SECOND);
+        let (me, now) = (Member { id: who as u64, incarnation: p.incarnation }, p.local(self.now));
+        p.front = Some(if who == 0 {
+            self.told = self.disk.log.clone();
+            let began = if play.plant == Some(Plant::NoWait) { now - 10 * terms.span } else { now };
+            Front::seat(terms, me, view, self.told.state().clone(), Time::MAX, began)
+        } else {
+            Front::new(terms, me, view, now)
+        });
+        self.act(who, |front, now, out| front.tick(now, out));
+    }
+
+    /// The seat writes an entry; it holds once it is synced.
+    fn write(&mut self, entry: Entry) {
+        if !self.all[0].runs()
+            || self.told.clone().apply(entry.clone()).is_err()
+            || !self.disk.written.is_empty()
+        {
+            return;
+        }
+        self.disk.written.push(entry.clone());
+        let takes = self.rng.i64(SECOND / 2000..SECOND / 20);
+        let (incarnation, entries) = (self.all[0].incarnation, self.disk.written.len());
+        self.plan(self.now + takes, Event::Synced { incarnation, entries });
+        if self.play.plant == Some(Plant::Unsynced) {
+            let _ = self.told.apply(entry);
+            self.tell();
+        }
+    }
+
+    fn sync(&mut self, entries: usize) {
+        let entries = entries.min(self.disk.written.len());
+        for entry in self.disk.written.drain(..entries).collect::<Vec<_>>() {
+            let before = self.disk.log.state().force.version;
+            let _ = self.disk.log.apply(entry);
+            let joint = matches!(self.disk.log.state().next, Some((_, Phase::Joint)));
+            if self.play.plant == Some(Plant::NoJoint) && joint {
+                let from = self.disk.log.state().step;
+                let _ = self.disk.log.apply(Entry::Advance { from });
+            }
+            let state = self.disk.log.state();
+            if let Some((next, _)) = &state.next {
+                self.proposed.entry(next.version).or_insert(self.now);
+            }
+            if state.force.version > before {
+                self.outcome.in_force += 1;
+                self.waiting = Some((state.force.version, self.proposed[&state.force.version]));
+            }
+            self.disk.synced += 1;
+        }
+        // The log moved: everyone is judged by it.
+        for who in 0..self.all.len() {
+            self.judge(who);
+        }
+    }
+
+    fn catch_up(&mut self) {
+        if self.all[0].runs() {
+            self.told = self.disk.log.clone();
+            self.tell();
+        }
+    }
+
+    fn tell(&mut self) {
+        let state = self.told.state().clone();
+        self.act(0, |front, now, out| front.stepped(now, state, out));
+    }
+
+    /// The seat goes on with a change once all have come as far.
+    fn go_on(&mut self) {
+        let p = &self.all[0];
+        let from = self.told.state().step;
+        let reached = p.runs() && p.front.as_ref().is_some_and(|f| f.reached(p.local(self.now), from));
+        if reached && self.told.unsettled() {
+            self.write(Entry::Advance { from });
+        }
+        // In force at every front end that runs: time from its proposal.
+        if let Some((version, since)) = self.waiting {
+            let there = |p: &Process| {
+                let acts = p.front.as_ref().and_then(|f| f.acts(p.local(self.now)));
+                !p.runs() || acts.is_none() || acts.is_some_and(|s| s.force.version >= version)
+            };
+            if self.all.iter().all(there) {
+                self.outcome.force_ms.push(((self.now - since) / 1000) as u64);
+                self.waiting = None;
+            }
+        }
+    }
+
+    fn hear(&mut self, to: usize, from: usize, message: Message<State>) {
+        let mut message = message;
+        if let (Message::Grant(g), Some(Plant::CountedFromAnswer)) = (&mut message, self.play.plant) {
+            // An ask of this moment takes the place of the one that was answered.
+            let p = &mut self.all[to];
+            let now = p.local(self.now);
+            let mut asks = Vec::new();
+            if let Some(front) = p.front.as_mut() {
+                front.hear(now, 0, Message::Step(PAUSE), &mut asks);
+            }
+            if let (Some((_, Message::Ask(a))), true) = (asks.first(), g.to.incarnation == p.incarnation) {
+                g.seq = a.seq;
+            }
+        }
+        self.act(to, |front, now, out| front.hear(now, from as u64, message, out));
+    }
+
+    /// Lets a process act, sends what it says and plans its next tick; it is judged before and after.
+    fn act(
+        &mut self,
+        who: usize,
+        act: impl FnOnce(&mut Front<State>, Time, &mut Vec<(u64, Message<State>)>),
+    ) {
+        self.account(who);
+        let p = &mut self.all[who];
+        let now = p.local(self.now);
+        let (Some(front), None) = (p.front.as_mut(), p.stopped.as_ref()) else { return };
+        let mut out = Vec::new();
+        act(front, now, &mut out);
+        let next = front.next();
+        if next < Time::MAX && next != p.planned {
+            p.planned = next;
+            let wait = ((next - now).max(1) as f64 / p.rate).ceil() as Time;
+            let incarnation = p.incarnation;
+            self.plan(self.now + wait, Event::Tick { who, incarnation });
+        }
+        self.judge(who);
+        for (to, message) in out {
+            let to = to as usize;
+            self.sent += 1;
+            self.sent_bytes += size(&message) as u64;
+            self.sent_seat += u64::from(to == 0 || who == 0);
+            for at in self.net.carry(&mut self.rng, self.now, who, to) {
+                self.plan(at, Event::Message { to, from: who, message: message.clone() });
+            }
+        }
+    }
+
+    /// Counts the time that a process was up, and without a lease.
+    fn account(&mut self, who: usize) {
+        let p = &mut self.all[who];
+        if let (Some(front), None) = (&p.front, &p.stopped) {
+            let now = self.now;
+            let span = now - p.seen;
+            p.up += span;
+            match front.acts(p.local(now)) {
+                Some(_) => p.live = now,
+                None => p.out += span,
+            }
+        }
+        p.seen = self.now;
+    }
+
+    /// What this process would act on now, against what is in force by the seat's disk.
+    fn judge(&mut self, who: usize) {
+        let p = &self.all[who];
+        let (Some(front), None) = (&p.front, &p.stopped) else { return };
+        let force = &self.disk.log.state().force;
+        let acts = front.acts(p.local(self.now));
+        let Some(known) = acts.or(front.known()) else { return };
+        let step = self.disk.log.state().step;
+        if acts.is_some() && known.step > step {
+            let told = format!("acts on step {}, the disk holds {}", known.step.0, step.0);
+            return self.broken(who, told);
+        }
+        // The same step against the same version was judged before.
+        if !self.judged.insert((known.step.0, force.version.0, acts.is_some())) {
+            return;
+        }
+        let rules: Rules = match acts {
+            Some(state) => state.rules(&self.schema),
+            None => lapsed(&self.schema, &known.force.fields),
+        };
+        let wrong = contradictions(&self.schema, &force.fields, &rules);
+        if let Some((path, _)) = wrong.first() {
+            let how = if acts.is_some() { "with a lease" } else { "without a lease" };
+            let told = format!("{how}, step {}: {path} against version {}", known.step.0, force.version.0);
+            self.broken(who, told);
+        }
+    }
+
+    fn broken(&mut self, who: usize, what: String) {
+        self.outcome.broken.push(format!("{} ms: front end {who} {what}", self.now / 1000));
+    }
+
+    fn close(mut self) -> Outcome {
+        for who in 0..self.all.len() {
+            self.account(who);
+            let p = &self.all[who];
+            let behind = match p.front.as_ref().and_then(|f| f.acts(p.local(self.now))) {
+                Some(s) if s.step == self.disk.log.state().step => None,
+                Some(s) => Some(format!("still acts on step {}", s.step.0)),
+                // One that fell out for a moment, by messages lost in a row, is not one that found no way back.
+                None if self.now - p.live < 2 * SECOND => None,
+                None => Some("holds no lease".into()),
+            };
+            if let (Some(what), true, true) = (behind, p.runs(), self.outcome.broken.is_empty()) {
+                self.broken(who, format!("{what} after all faults are over"));
+            }
+        }
+        if self.disk.log.unsettled() && self.outcome.broken.is_empty() {
+            self.broken(0, "has a change that never ended".into());
+        }
+        let (up, out) = self.all.iter().fold((0, 0), |(u, o), p| (u + p.up, o + p.out));
+        let seconds = self.now as f64 / SECOND as f64;
+        let each = seconds * self.play.fronts as f64;
+        self.outcome.lapsed = out as f64 / up.max(1) as f64;
+        self.outcome.messages = self.sent as f64 / each;
+        self.outcome.bytes = self.sent_bytes as f64 / each;
+        self.outcome.seat_messages = self.sent_seat as f64 / seconds;
+        self.outcome
+    }
+}
+
+/// A step that no log reaches, for what the model does to a process.
+const PAUSE: tansy_agree::log::Step = tansy_agree::log::Step(u64::MAX);
+
+/// Many runs together.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Front ends.
+    pub fronts: usize,
+    /// Runs.
+    pub seeds: u64,
+    /// Runs that broke, with the first lines.
+    pub broken: Vec<(u64, String)>,
+    /// Versions that came into force.
+    pub in_force: u64,
+    /// From a proposal to force everywhere, milliseconds: median, 99th percentile, longest.
+    pub force_ms: [u64; 3],
+    /// Share of time without a live lease.
+    pub lapsed: f64,
+    /// Messages a front end a second.
+    pub messages: f64,
+    /// Bytes a front end a second.
+    pub bytes: f64,
+    /// Messages at the seat a second.
+    pub seat_messages: f64,
+}
+
+/// Plays seeds `from` to `from + seeds` on so many threads. The outcome does not depend on their number.
+pub fn many(play: &Play, from: u64, seeds: u64, threads: usize) -> Summary {
+    let next = std::sync::atomic::AtomicU64::new(0);
+    let work = || {
+        let mut own = Vec::new();
+        loop {
+            let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            if n >= seeds {
+                return own;
+            }
+            own.push(run(play, from + n));
+        }
+    };
+    let mut all: Vec<Outcome> = std::thread::scope(|s| {
+        let spawned: Vec<_> = (0..threads.max(1)).map(|_| s.spawn(work)).collect();
+        spawned.into_iter().flat_map(|t| t.join().unwrap_or_default()).collect()
+    });
+    all.sort_by_key(|o| o.seed);
+    let mut force = Histogram::<u64>::new_with_bounds(1, 3_600_000, 3).expect("an hour at most");
+    all.iter().flat_map(|o| &o.force_ms).for_each(|ms| force.saturating_record(*ms));
+    let mean = |f: fn(&Outcome) -> f64| all.iter().map(f).sum::<f64>() / all.len().max(1) as f64;
+    let broken = all.iter().filter_map(|o| Some((o.seed, o.broken.first()?.clone())));
+    Summary {
+        fronts: play.fronts,
+        seeds,
+        broken: broken.collect(),
+        in_force: all.iter().map(|o| o.in_force).sum(),
+        force_ms: [0.5, 0.99, 1.0].map(|q| force.value_at_quantile(q)),
+        lapsed: mean(|o| o.lapsed),
+        messages: mean(|o| o.messages),
+        bytes: mean(|o| o.bytes),
+        seat_messages: mean(|o| o.seat_messages),
+    }
+}
--- /dev/null
+++ b/model/src/main.rs
@@ -0,0 +1,116 @@
+//! `tansy-lab`: plays fleets of front ends in virtual time.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::process::ExitCode;
+use tansy_model::agree::{faults, many, run, script, Plant, Play};
+
+/// Fleets of front ends in virtual time.
+#[derive(Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Versions of settings through kills, pauses, cuts and clocks of different rates. Ends with 1 if a run broke.
+    Agree {
+        /// Front ends, the seat among them; several sizes are played one after the other.
+        #[arg(long, value_delimiter = ',', default_value = "7")]
+        front_ends: Vec<usize>,
+        /// How many seeds.
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+        /// The first of them.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Threads; the outcome does not depend on it.
+        #[arg(long, default_value_t = 0)]
+        threads: usize,
+        /// Plants a mistake: the runs should break.
+        #[arg(long)]
+        plant: Option<Mistake>,
+        /// Plays one seed alone, and if it breaks, tells the shortest script of faults with which it does.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// No faults but lost and doubled messages.
+        #[arg(long)]
+        quiet: bool,
+        /// A lease's length, milliseconds.
+        #[arg(long, default_value_t = 600)]
+        lease: i64,
+        /// One line of JSON for each size.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Mistake {
+    /// A lease is counted from its answer.
+    CountedFromAnswer,
+    /// No joint step.
+    NoJoint,
+    /// A seat that starts again does not wait.
+    NoWait,
+    /// Told before it is synced.
+    Unsynced,
+    /// Clocks out of bound.
+    WildClock,
+}
+
+fn plant(m: Mistake) -> Plant {
+    match m {
+        Mistake::CountedFromAnswer => Plant::CountedFromAnswer,
+        Mistake::NoJoint => Plant::NoJoint,
+        Mistake::NoWait => Plant::NoWait,
+        Mistake::Unsynced => Plant::Unsynced,
+        Mistake::WildClock => Plant::WildClock,
+    }
+}
+
+fn main() -> ExitCode {
+    let What::Agree { front_ends, seeds, from, threads, plant: mistake, seed, quiet, lease, json } =
+        Arguments::parse().what;
+    let threads =
+        if threads > 0 { threads } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
+    let mut broken = false;
+    for fronts in front_ends {
+        let mut play = Play { plant: mistake.map(plant), quiet, ..Play::of(fronts.max(2)) };
+        play.terms.span = lease.clamp(1, 3_600_000) * 1000;
+        if let Some(seed) = seed {
+            let outcome = run(&play, seed);
+            println!("{}", serde_json::to_string(&outcome).unwrap_or_default());
+            if !outcome.broken.is_empty() {
+                let short = script(&play, seed);
+                println!("{} of {} faults are enough:", short.len(), faults(&play, seed).len());
+                short.iter().for_each(|f| println!("  {f:?}"));
+                broken = true;
+            }
+            continue;
+        }
+        let sum = many(&play, from, seeds, threads);
+        broken |= !sum.broken.is_empty();
+        if json {
+            println!("{}", serde_json::to_string(&sum).unwrap_or_default());
+            continue;
+        }
+        println!(
+            "{} front ends, {} seeds: {} broke; {} versions in force, after {} ms (median), {} ms (99th), {} ms at most; \
+             {:.2}% of the time without a lease; {:.1} messages and {:.0} bytes a front end a second, {:.0} at the seat",
+            sum.fronts,
+            sum.seeds,
+            sum.broken.len(),
+            sum.in_force,
+            sum.force_ms[0],
+            sum.force_ms[1],
+            sum.force_ms[2],
+            sum.lapsed * 100.0,
+            sum.messages,
+            sum.bytes,
+            sum.seat_messages,
+        );
+        sum.broken.iter().take(5).for_each(|(seed, what)| println!("  seed {seed}: {what}"));
+    }
+    ExitCode::from(u8::from(broken))
+}
--- /dev/null
+++ b/model/tests/agree.rs
@@ -0,0 +1,55 @@
+//! Fleets in virtual time: nothing breaks through faults, what is planted is found, and a run depends on its seed alone.
+
+use tansy_model::agree::{faults, many, run, script, with, Plant, Play};
+
+#[test]
+fn no_fleet_acts_on_contradicting_rules_through_kills_pauses_cuts_and_clocks() {
+    for fronts in [2, 5, 9, 30] {
+        let sum = many(&Play::of(fronts), 1, 40, 2);
+        assert!(sum.broken.is_empty(), "{fronts} front ends: {:?}", sum.broken);
+        assert!(sum.in_force > 200, "{fronts} front ends: {} versions in force", sum.in_force);
+    }
+}
+
+#[test]
+fn a_run_depends_on_its_seed_alone() {
+    let play = Play::of(6);
+    let text = |threads| serde_json::to_string(&many(&play, 7, 12, threads)).expect("a summary");
+    assert_eq!(text(1), text(5));
+    assert_ne!(run(&play, 1).messages, run(&play, 2).messages);
+}
+
+#[test]
+fn without_faults_a_change_takes_the_round_trips_of_its_steps() {
+    let outcome = with(&Play::of(40), 3, &[]);
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    let longest = outcome.force_ms.iter().max().expect("changes");
+    assert!(*longest < 1_300, "{:?}", outcome.force_ms);
+}
+
+fn found(plant: Plant, seeds: u64) -> u64 {
+    let play = Play { plant: Some(plant), ..Play::of(7) };
+    (1..=seeds).find(|s| !run(&play, *s).broken.is_empty()).expect("a run that breaks")
+}
+
+#[test]
+fn each_planted_mistake_is_found() {
+    for (plant, seeds) in [
+        (Plant::CountedFromAnswer, 200),
+        (Plant::NoJoint, 20),
+        (Plant::NoWait, 3000),
+        (Plant::Unsynced, 20),
+        (Plant::WildClock, 300),
+    ] {
+        found(plant, seeds);
+    }
+}
+
+#[test]
+fn a_failure_comes_with_a_short_script_of_faults_that_still_shows_it() {
+    let play = Play { plant: Some(Plant::CountedFromAnswer), ..Play::of(7) };
+    let seed = found(Plant::CountedFromAnswer, 200);
+    let (all, short) = (faults(&play, seed), script(&play, seed));
+    assert!(short.len() < all.len() && short.len() <= 3, "{} of {}: {short:?}", short.len(), all.len());
+    assert!(!with(&play, seed, &short).broken.is_empty());
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! read into the program's own types. All errors are told at once, each with file, line, column, the field's path and
 //! what would be right. Nothing is decided and nothing tuned here: what is left out takes the schema's default.
 
+pub mod agree;
 mod read;
 pub mod value;
 
