--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -158,14 +158,35 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Message { to: usize, from: usize, message: Message<State> },
-    Tick { who: usize, incarnation: u64 },
-    Start { who: usize },
-    Stop { who: usize },
-    Wake { who: usize },
+    Message {
+        to: usize,
+        from: usize,
+        message: Message<State>,
+    },
+    Tick {
+        who: usize,
+        incarnation: u64,
+    },
+    Start {
+        who: usize,
+    },
+    Stop {
+        who: usize,
+    },
+    Wake {
+        who: usize,
+    },
+    /// It knows all members by now.
+    Learn {
+        who: usize,
+        incarnation: u64,
+    },
     Propose,
     Abandon,
-    Synced { incarnation: u64, entries: usize },
+    Synced {
+        incarnation: u64,
+        entries: usize,
+    },
 }
 
 /// A process, or the place of one.
@@ -384,6 +405,15 @@
                 }
                 self.act(who, |front, now, out| front.tick(now, out));
             }
+            Event::Learn { who, incarnation } => {
+                let view = self.view.clone();
+                if self.all[who].incarnation == incarnation {
+                    self.act(who, |front, now, out| {
+                        front.knows(view);
+                        front.tick(now, out);
+                    });
+                }
+            }
             Event::Propose => {
                 let (base, from) = (self.told.state().latest(), &self.told.state().force.fields);
                 let fields = changed(&mut self.rng, from);
@@ -409,7 +439,13 @@
         if self.all[who].front.is_some() {
             return;
         }
-        let (terms, view, play) = (self.play.terms, self.view.clone(), self.play);
+        // A process that starts knows the seat, itself and some others; all of them a while later.
+        let known = (0..self.play.fronts as u64).filter(|n| *n == who as u64 || self.rng.bool());
+        let view = View::new(0, known.collect::<Vec<_>>());
+        let incarnation = self.all[who].incarnation + 1;
+        let learns = self.now + self.rng.i64(SECOND / 10..5 * SECOND);
+        self.plan(learns, Event::Learn { who, incarnation });
+        let (terms, play) = (self.play.terms, self.play);
         let p = &mut self.all[who];
         p.incarnation += 1;
         (p.up_since, p.seen) = (self.now, self.now);
