Module: where a miss would load, what siblings keep is asked for again

At fault: `grow` returning where no load was to be spared. Ruled out: the load window, unchanged; the cold budget alone. Change: with siblings, and where a miss would load, `grow` asks: the home's places again after a load's time, one beyond after an idle life. There a cold place without credit counts as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -280,7 +280,6 @@
             self.sweep(now, out);
             self.next_sweep = now.plus(SWEEP);
         }
-        // With nothing held and nothing out there is nothing to look over; a second later will do.
         let calm = self.waiting.is_empty() && self.requests.is_empty();
         let at = if calm { now.plus(SECOND) } else { self.next_sweep };
         if self.timer_at.is_none_or(|t| t <= now || t > at) {
@@ -535,8 +534,7 @@
         if a.ran.replace(!d.outcome.never_ran()).is_some() {
             return;
         }
-        let (wid, sent) = (a.to.worker, a.sent);
-        let (fid, class) = (r.function, r.class);
+        let (wid, sent, fid, class) = (a.to.worker, a.sent, r.function, r.class);
         let owed = !r.concluded && !d.concluded;
         let (usual, weight) = self.requests.get(&d.request).map_or((0.0, 1.0), |r| self.expected(r));
         let (aim, memory, filled) = (self.set.classes[class].aim as f64, self.memory(), self.filled(now));
@@ -688,8 +686,7 @@
         let free = self.seats(f).filter(|(_, p, w)| lane(p) && self.alive(w, p, now)).map(|s| s.0);
         let spare = self.shared() && r.attempts.len() + 2 < self.set.max_attempts as usize;
         let kept = if spare { self.gaps(r.function, now, 0.0, |_| true) } else { Vec::new() };
-        let wait = self.load_wait(f);
-        let missed = |p: &Place| p.missed.is_some_and(|t| now.since(t) < 3 * wait);
+        let missed = |p: &Place| p.missed.is_some_and(|t| now.since(t) < 3 * self.load_wait(f));
         let kept = kept.into_iter().filter(|id| !f.places.get(id).is_some_and(missed));
         let aged = free.chain(kept).filter_map(|id| {
             let w = self.workers.get(&id).filter(|w| self.may_send(r, w, now))?;
@@ -705,15 +702,14 @@
         self.set.siblings > 1 && self.set.may_order && self.set.when_absent == WhenAbsent::Miss
     }
 
-    /// Calls that one place of a function takes at a time: its lanes, but for no more than a worker's usual
-    /// load of all front ends, since lanes share few cores.
+    /// Calls that one place takes at a time: its lanes, but no more than a worker's usual load, by all.
     fn takes(&self, f: &Function, now: Time) -> f64 {
         let usual = self.work.sum / self.filled(now) * self.set.siblings as f64 / self.ready.max(1.0);
         usual.max(LEAST_PLACE).min(f.lanes as f64)
     }
 
-    /// How many places a function may have: by the crowds told, else by its calls, of which siblings take
-    /// as many. Loads go by one place less, or by the calls before the one just here: presuming costs little.
+    /// How many places a function may have: by the crowds told, else by its calls and each sibling's.
+    /// Loads go by one place less, or by the calls before the one just here: presuming costs little.
     fn cap(&self, f: &Function, now: Time, less: f64) -> usize {
         if self.set.tells_crowd && self.shared() {
             return (f.width.max(1.0) - less) as usize + 1;
@@ -723,20 +719,18 @@
         1 + ((f.calls.sum - less).max(0.0) * each) as usize
     }
 
-    /// Where a function that has fewer places than its cap may get one. Its home is the workers that every
-    /// front end would name for it, as many as the cap (rendezvous hashing over function and worker, weighted
-    /// by size); which of them comes first differs by front end.
+    /// Where a function with fewer places than its cap may get one: at home, on workers that all front ends
+    /// name for it (rendezvous hashing over function and worker, weighted by size).
     fn gaps(&self, fid: FunctionId, now: Time, less: f64, room: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
         let Some(f) = self.functions.get(&fid) else { return Vec::new() };
         let (cap, wait) = (self.cap(f, now, less), self.load_wait(f));
         let ordered = |p: &Place| p.ordered.is_some_and(|t| now.since(t) < 3 * wait);
         let taken = |w: &Worker, p: &Place| self.alive(w, p, now) || ordered(p);
         let weight = self.service(f.class);
-        let credit = |w: &Worker| self.cold_credit(w, weight, now).is_none_or(|c| c >= weight);
-        let counts =
-            |w: &Worker, p: &Place| Self::open(w) && !self.stuck(w, p, now) && taken(w, p) && credit(w);
-        let have = self.seats(f).filter(|(_, p, w)| counts(w, p)).take(cap).count();
-        // The last: wherever it could be loaded it stands or comes already.
+        let able =
+            |w: &Worker| !self.shared() || self.cold_credit(w, weight, now).is_none_or(|c| c >= weight);
+        let has = |w: &Worker, p: &Place| Self::open(w) && !self.stuck(w, p, now) && taken(w, p) && able(w);
+        let have = self.seats(f).filter(|(_, p, w)| has(w, p)).take(cap).count();
         if have >= cap || have as f64 >= self.ready {
             return Vec::new();
         }
@@ -744,8 +738,7 @@
         let at = |id: &WorkerId, so: &dyn Fn(&Worker, &Place) -> bool| {
             self.workers.get(id).zip(f.places.get(id)).is_some_and(|(w, p)| so(w, p))
         };
-        let may =
-            |id: &WorkerId, w: &Worker| (!w.suspect || w.trial) && credit(w) && room(w) && !at(id, &out);
+        let may = |id: &WorkerId, w: &Worker| (!w.suspect || w.trial) && able(w) && room(w) && !at(id, &out);
         self.home(fid, cap, may).into_iter().filter(|id| !at(id, &taken)).collect()
     }
 
@@ -774,36 +767,46 @@
     /// there found it missing.
     fn grow(&mut self, now: Time, id: RequestId, fid: FunctionId, out: &mut Vec<Action>) {
         let allowed = self.ration(now);
-        let (direct, paced) = (!self.set.may_order, now < self.loads.next_vain);
-        let request = self.requests.get(&id);
+        let (direct, request) = (!self.set.may_order, self.requests.get(&id));
         let room = |w: &Worker| {
             let sendable = !direct || request.is_some_and(|r| self.may_send(r, w, now));
-            sendable && !(paced && (w.vain || self.loads.vain))
+            sendable && !(now < self.loads.next_vain && (w.vain || self.loads.vain))
         };
-        let open = self.gaps(fid, now, 1.0, room);
         let Some(f) = self.functions.get(&fid) else { return };
-        let missed = |id: &WorkerId| f.places.get(id).is_some_and(|p| p.missed.is_some());
-        let known = open.into_iter().filter(|id| request.is_some() || !self.shared() || missed(id));
-        let own = known.filter_map(|id| Some((self.claim(fid, id, self.workers.get(&id)?, true), id)));
-        let Some((_, wid)) = own.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        // EXCEPTION: loads in hand are few over all front ends; a share under one comes in turns of its own.
+        // Holds for a release of many functions, a slow store, an empty zone. Harm: loads wait with us then.
+        let (window, wait, out_now) = (self.loads.window, self.load_wait(f), self.loads.out);
+        let turn = (out_now as f64) < window && window >= 1.0 || out_now == 0 && now >= self.loads.next;
+        let best = |less: f64, rest: Span| {
+            let missed = |id: &WorkerId| f.places.get(id).and_then(|p| p.missed).map(|t| now.since(t));
+            let fits =
+                |id: &WorkerId| missed(id).map_or(request.is_some() || !self.shared(), |ago| ago >= rest);
+            let known = self.gaps(fid, now, less, room).into_iter().filter(fits);
+            let own = known.filter_map(|id| Some((self.claim(fid, id, self.workers.get(&id)?, true), id)));
+            own.max_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
+        };
+        let load = if direct || allowed && turn { best(1.0, 0) } else { None };
+        // EXCEPTION: where a miss would load, what siblings keep is asked for, at no load. Harm: the price.
+        let asks = self.set.siblings > 1 && !direct && !self.shared() && load.is_none();
+        let ask = || best(1.0, wait).or_else(|| best(0.0, self.set.idle_life));
+        let Some(wid) = load.or_else(|| asks.then(ask)?) else { return };
         if direct {
             return self.send(now, id, wid, out);
         }
-        // EXCEPTION: loads in hand are few over all front ends; a share under one comes in turns of its own.
-        // Holds for a release of many functions, a slow store, an empty zone. Harm: loads wait with us then.
-        let (window, wait) = (self.loads.window, self.load_wait(f));
-        let spare = (self.loads.out as f64) < window && window >= 1.0
-            || self.loads.out == 0 && now >= self.loads.next;
         if self.loads.vain || self.workers.get(&wid).is_some_and(|w| w.vain) {
             self.loads.next_vain = now.plus(VAIN_PACE);
         }
-        let Some(f) = self.functions.get_mut(&fid).filter(|_| allowed && spare) else { return };
-        f.places.entry(wid).or_default().ordered = Some(now);
-        self.workers.entry(wid).and_modify(|w| w.trial = false);
-        self.loads.out += 1;
-        self.loads.orders.push_back(now);
-        self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
-        out.push(Action::Load { worker: wid, function: fid, instances: 1 });
+        let p = self.functions.entry(fid).or_default().places.entry(wid).or_default();
+        if load.is_some() {
+            p.ordered = Some(now);
+            self.workers.entry(wid).and_modify(|w| w.trial = false);
+            self.loads.out += 1;
+            self.loads.orders.push_back(now);
+            self.loads.next = now.plus((wait as f64 / window.max(1.0 / self.set.siblings as f64)) as Span);
+        } else {
+            p.missed = Some(now);
+        }
+        out.push(Action::Load { worker: wid, function: fid, instances: load.is_some() as u32 });
     }
 
     /// The highest claims of a function, so many, among the workers that may have it. Strength is little more
@@ -897,7 +900,6 @@
             let gap = (SECOND / 2) << (before - 1).min(VAIN_DOUBLES);
             p.barred_until = p.barred_until.max(now.plus(spread(self.seed, now, gap)));
         }
-        // One miss after a load may be a release of the function between them.
         if before > 0 || !missed {
             (self.loads.next_vain, self.loads.vain) = (now.plus(VAIN_PACE), true);
             self.workers.entry(wid).and_modify(|w| w.vain = true);
@@ -1004,8 +1006,8 @@
                 let age = now.since((*sent).max(w.heard)) as f64;
                 // EXCEPTION: silence shorter than our own looks is none: with many fast calls out, answers
                 // wait unread that long. Harm: a worker silent for very short calls is found a look later.
-                let own = age <= SWEEP as f64;
-                (!own).then(|| age / unit.max(self.expected(r).0) / r.attempts.len().max(1) as f64)
+                (age > SWEEP as f64)
+                    .then(|| age / unit.max(self.expected(r).0) / r.attempts.len().max(1) as f64)
             });
             evidence.sum::<f64>() > PATIENCE
         };
@@ -1032,8 +1034,8 @@
                     w.trial = true;
                 }
             }
-            let requests = &self.requests;
-            let (classes, most) = (&self.set.classes, self.set.max_attempts as usize);
+            let (requests, classes, most) =
+                (&self.requests, &self.set.classes, self.set.max_attempts as usize);
             // What was sent as a trial has the time that an answer takes.
             let tried = |t: Time| t > w.since && (now.since(t) as f64) < 2.0 * unit;
             let stuck = w.out.iter().filter(|(sent, id)| {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -366,6 +366,30 @@
     assert!((1..=2).contains(&orders) && found == 20, "{orders} orders, {found} found in 2 s");
 }
 
+/// Where a miss would load, a call must not go and see: what siblings had loaded is asked for, at no load.
+#[test]
+fn where_a_miss_would_load_standing_instances_are_found_by_asking() {
+    let mut b = Bench::new(Settings { siblings: 100, ..of(Effect::Safe) });
+    b.ready(10);
+    let (mut orders, mut asked) = (0, 0);
+    for i in 0..40 {
+        for a in b.call(i, 100 + i, 0, 2_000 * MS) {
+            match a {
+                Action::Load { instances: 0, worker, .. } => {
+                    asked += 1;
+                    let found = b.loaded(worker, 100 + i, Outcome::Served);
+                    assert_eq!(sent(&found), Some(worker), "a sibling had it loaded");
+                    b.done(i, 0, worker, Outcome::Served);
+                }
+                Action::Load { .. } => orders += 1,
+                a => panic!("{a:?} before anything is known to stand"),
+            }
+        }
+        b.wait(50 * MS);
+    }
+    assert!((1..=2).contains(&orders) && asked > 30, "{orders} orders, {asked} asked in 2 s");
+}
+
 /// All front ends presume a function at the same place, so that the one that has it loaded is met by all.
 #[test]
 fn front_ends_presume_a_quiet_function_at_the_same_places() {
@@ -425,10 +449,11 @@
 #[test]
 fn a_cold_place_without_credit_is_not_waited_for() {
     let mut set = of(Effect::Safe);
+    set.when_absent = WhenAbsent::Miss;
     (set.warm_up, set.siblings) = (60 * SECOND, 6);
     let mut b = Bench::new(set);
     b.ready(1);
-    let at = b.sent(1, 9, 0);
+    let at = sent(&b.call(1, 9, 0, 5_000 * MS)).expect("presumed");
     b.done(1, 0, at, Outcome::Served);
     b.wait(1_000 * MS);
     let entries = vec![worker(1, WorkerState::Ready, Some(b.now)), worker(2, WorkerState::Ready, None)];
