Leases: one constructor for front ends and seats, an unused question taken out

Read again after the fact: Front::new and Front::seat wrote the same nine fields; Granter::reached_by was called by nobody. Behaviour stays as it is; the tests of tansy-agree and tansy-model pass unchanged.

--- a/decide/agree/src/lease.rs
+++ b/decide/agree/src/lease.rs
@@ -229,12 +229,6 @@
         self.quiet.is_none_or(|q| now >= q) && self.least(now).is_none_or(|l| l >= step)
     }
 
-    /// When something that keeps [`Granter::reached`] false runs out by itself, at the latest.
-    pub fn reached_by(&self, step: Step) -> Time {
-        let behind = self.children.values().filter(|c| c.at < step).map(|c| c.out);
-        behind.chain(self.quiet).max().unwrap_or(Time::MIN)
-    }
-
     /// Who may hold a lease.
     pub fn children(&self, now: Time) -> impl Iterator<Item = Member> + '_ {
         self.children.iter().filter(move |(_, c)| c.out > now).map(|(m, _)| *m)
--- a/decide/agree/src/member.rs
+++ b/decide/agree/src/member.rs
@@ -102,31 +102,29 @@
     /// A front end that starts from nothing.
     pub fn new(terms: Terms, me: Member, view: View, now: Time) -> Front<S> {
         let right = Right::Lent { holder: Holder::new(terms, me), choice: 0, unanswered: 0 };
-        let granter = Granter::new(terms, FAN + MORE, None);
-        Front {
-            terms,
-            me,
-            view,
-            right,
-            granter,
-            next_ask: now,
-            heard: BTreeMap::new(),
-            told: Step(0),
-            granted: BTreeMap::new(),
-        }
+        Front::with(terms, me, view, right, None, now)
     }
 
     /// The seat, with what its log says. It takes no step that changes rules before all that an earlier process of it may
     /// have granted is out.
     pub fn seat(terms: Terms, me: Member, view: View, state: S, until: Time, now: Time) -> Front<S> {
-        let right = Right::Seat { state, until };
-        let granter = Granter::new(terms, FAN + MORE, Some(now));
+        Front::with(terms, me, view, Right::Seat { state, until }, Some(now), now)
+    }
+
+    fn with(
+        terms: Terms,
+        me: Member,
+        view: View,
+        right: Right<S>,
+        before: Option<Time>,
+        now: Time,
+    ) -> Front<S> {
         Front {
             terms,
             me,
             view,
             right,
-            granter,
+            granter: Granter::new(terms, FAN + MORE, before),
             next_ask: now,
             heard: BTreeMap::new(),
             told: Step(0),
