One served answer in the module's tests, a pause of its own in the model, comments that agree

Read again after the fact: the module's tests wrote a served AttemptDone three times over; the model told a pause by a message with a step that never comes, and kept two fields that nobody read; two comments in the module spoke of what was before (asks, what a worker was seen to carry). Behaviour and assertions stay as they are; tests of module and model pass.

--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -10,7 +10,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use tansy_agree::lease::{Member, Terms};
-use tansy_agree::log::{Entry, Log, Phase, State, Version};
+use tansy_agree::log::{Entry, Log, Phase, State, Step, Version};
 use tansy_agree::member::{Front, Message, View};
 use tansy_agree::rule::{contradictions, lapsed, Fields, Kind, Lapsed, Rules, Schema, Stricter, Value};
 
@@ -173,6 +173,9 @@
     Stop {
         who: usize,
     },
+    Pause {
+        who: usize,
+    },
     Wake {
         who: usize,
     },
@@ -200,7 +203,6 @@
     offset: Time,
     /// The tick that is planned.
     planned: Time,
-    up_since: Time,
     up: Time,
     out: Time,
     seen: Time,
@@ -221,7 +223,6 @@
 struct Disk {
     log: Log,
     written: Vec<Entry>,
-    synced: usize,
 }
 
 struct Run<'a> {
@@ -295,7 +296,6 @@
                 rate: 1.0 + (rng.f64() * 2.0 - 1.0) * bound,
                 offset: rng.i64(0..1000 * SECOND),
                 planned: Time::MAX,
-                up_since: 0,
                 up: 0,
                 out: 0,
                 seen: 0,
@@ -312,7 +312,7 @@
             events: BTreeMap::new(),
             numbers: 0,
             all,
-            disk: Disk { log: log.clone(), written: Vec::new(), synced: 0 },
+            disk: Disk { log: log.clone(), written: Vec::new() },
             told: log,
             schema: schema(),
             view: View::new(0, 0..play.fronts as u64),
@@ -336,8 +336,7 @@
                     run.plan(at + away, Event::Start { who });
                 }
                 Fault::Pause { who, at, away } => {
-                    // A pause is told from a kill by its wake.
-                    run.plan(at, Event::Message { to: who, from: usize::MAX, message: Message::Step(PAUSE) });
+                    run.plan(at, Event::Pause { who });
                     run.plan(at + away, Event::Wake { who });
                 }
                 _ => {}
@@ -362,9 +361,9 @@
 
     fn on(&mut self, event: Event) {
         match event {
-            Event::Message { to, message: Message::Step(PAUSE), .. } => {
-                self.account(to);
-                let p = &mut self.all[to];
+            Event::Pause { who } => {
+                self.account(who);
+                let p = &mut self.all[who];
                 p.stopped = p.stopped.take().or(Some(Vec::new())).filter(|_| p.front.is_some());
             }
             Event::Message { to, from, message } => {
@@ -448,7 +447,7 @@
         let (terms, play) = (self.play.terms, self.play);
         let p = &mut self.all[who];
         p.incarnation += 1;
-        (p.up_since, p.seen) = (self.now, self.now);
+        p.seen = self.now;
         // A new process has a clock of its own beginning.
         p.offset = self.rng.i64(0..1000 * SECOND);
         let (me, now) = (Member { id: who as u64, incarnation: p.incarnation }, p.local(self.now));
@@ -498,7 +497,6 @@
                 self.outcome.in_force += 1;
                 self.waiting = Some((state.force.version, self.proposed[&state.force.version]));
             }
-            self.disk.synced += 1;
         }
         // The log moved: everyone is judged by it.
         for who in 0..self.all.len() {
@@ -547,7 +545,7 @@
             let now = p.local(self.now);
             let mut asks = Vec::new();
             if let Some(front) = p.front.as_mut() {
-                front.hear(now, 0, Message::Step(PAUSE), &mut asks);
+                front.hear(now, 0, Message::Step(NEVER), &mut asks);
             }
             if let (Some((_, Message::Ask(a))), true) = (asks.first(), g.to.incarnation == p.incarnation) {
                 g.seq = a.seq;
@@ -663,8 +661,8 @@
     }
 }
 
-/// A step that no log reaches, for what the model does to a process.
-const PAUSE: tansy_agree::log::Step = tansy_agree::log::Step(u64::MAX);
+/// A step that no log reaches: whoever hears of it asks at once.
+const NEVER: Step = Step(u64::MAX);
 
 /// Many runs together.
 #[derive(Clone, Debug, Serialize)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -109,7 +109,7 @@
     last_send: Option<Time>,
     touched: Time,
     ordered: Option<Time>,
-    /// When a call there found it missing, since it last stood.
+    /// When a call there found it missing, or it was asked for, since it last stood.
     missed: Option<Time>,
     barred_until: Time,
     /// Told by an order that it stands, and no call has been served there since.
@@ -335,8 +335,8 @@
     }
 
     /// EXCEPTION (rule 4): a worker told to have started lately is sent no more than my share of half the
-    /// multiple of its present capacity (what one of its size was seen to carry, at least one core), as a
-    /// credit that grows with time. Where that is less than a call, front ends start at other parts of one
+    /// multiple of its present capacity (what one of its size could carry, at least one core), as a credit
+    /// that grows with time. Where that is less than a call, front ends start at other parts of one
     /// by their numbers: together they keep the budget and let calls through. Harm: it warms more slowly.
     fn cold_rate(&self, w: &Worker, now: Time) -> Option<f64> {
         let age = now.since(w.entry.started?);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -58,6 +58,17 @@
         }))
     }
     fn served_after(&mut self, request: RequestId, worker: WorkerId, latency: Span) -> Vec<Action> {
+        self.served_with(request, worker, latency, None, None)
+    }
+    /// Served at the first attempt, with the calls of its function and the load that the worker tells of.
+    fn served_with(
+        &mut self,
+        request: RequestId,
+        worker: WorkerId,
+        latency: Span,
+        crowd: Option<u32>,
+        report: Option<LoadReport>,
+    ) -> Vec<Action> {
         self.tell(Event::AttemptDone(AttemptDone {
             request,
             attempt: 0,
@@ -66,8 +77,8 @@
             concluded: true,
             latency,
             note: Note::Warm,
-            crowd: None,
-            report: None,
+            crowd,
+            report,
         }))
     }
     fn loaded(&mut self, worker: WorkerId, function: u64, outcome: Outcome) -> Vec<Action> {
@@ -331,17 +342,7 @@
 
 /// An answer to the only attempt of a call, with the calls of its function that the worker held.
 fn crowded(b: &mut Bench, request: u64, worker: WorkerId, crowd: u32) -> Vec<Action> {
-    b.tell(Event::AttemptDone(AttemptDone {
-        request: RequestId(request),
-        attempt: 0,
-        worker,
-        outcome: Outcome::Served,
-        concluded: true,
-        latency: 100 * MS,
-        note: Note::Warm,
-        crowd: Some(crowd),
-        report: None,
-    }))
+    b.served_with(RequestId(request), worker, 100 * MS, Some(crowd), None)
 }
 
 /// A release at full size: a hundred front ends with one load each in hand push the store over. The fleet takes few
@@ -499,17 +500,7 @@
             actions.extend(b.tell(Event::Timer { token: 0 }));
             while out.front().is_some_and(|(at, ..)| *at <= b.now) {
                 let (_, request, worker) = out.pop_front().expect("one is due");
-                actions.extend(b.tell(Event::AttemptDone(AttemptDone {
-                    request,
-                    attempt: 0,
-                    worker,
-                    outcome: Outcome::Served,
-                    concluded: true,
-                    latency: 100 * MS,
-                    note: Note::Warm,
-                    crowd: None,
-                    report,
-                })));
+                actions.extend(b.served_with(request, worker, 100 * MS, None, report));
             }
             while let Some(a) = actions.pop() {
                 match a {
