Ledger in rooms by concern; it takes up other settings between two calls, under a lease

Need: a version of the settings has to come into force in service, and a front end that lost its lease has to stop acting on it whoever hears of it. Front::adopt goes over to other terms between two inputs: a call keeps the class it came under, since a class that a version changes gets a place of its own while calls of the old one are open; what bounds workers and orders holds at once; beliefs stay. Terms may end at a moment, from which others hold at the very next input. Contested calls are refused at once, with advice, and counted. Weighed against it: a second router for calls of the old version, which would split the limits on workers in two.

--- a/decide/front/benches/run/mod.rs
+++ b/decide/front/benches/run/mod.rs
@@ -94,6 +94,7 @@
             hint: None,
             repeat: false,
             shape: None,
+            unlisted: false,
         };
         self.step(Input::Call(call));
     }
--- a/decide/front/src/account.rs
+++ b/decide/front/src/account.rs
@@ -36,6 +36,8 @@
     pub probes: u64,
     /// Connections dropped because nothing could be sent on them.
     pub drops: u64,
+    /// Of the refused ones, those that front ends may not agree on.
+    pub contested: u64,
     /// Commands of the module that a guard of the ledger held back; 0 unless something is wrong.
     pub guarded: u64,
 }
@@ -67,7 +69,7 @@
         write!(
             f,
             "taken={} served={} refused={} failed={} departed={} unknown={} attempts={} pieces={} loads={} vain={} asks={} \
-             unloads={} probes={} drops={} guarded={}",
+             unloads={} probes={} drops={} guarded={} contested={}",
             self.taken,
             self.served,
             self.refused,
@@ -82,7 +84,8 @@
             self.unloads,
             self.probes,
             self.drops,
-            self.guarded
+            self.guarded,
+            self.contested
         )
     }
 }
--- /dev/null
+++ b/decide/front/src/ledger/orders.rs
@@ -0,0 +1,119 @@
+//! Orders and probes, and workers whose orders leave nothing.
+
+use super::*;
+
+impl Front {
+    pub(super) fn order(
+        &mut self,
+        kind: OrderKind,
+        worker: WorkerId,
+        function: FunctionId,
+        n: u32,
+        out: &mut Vec<Command>,
+    ) {
+        let ready = self.states.get(&worker) == Some(&WorkerState::Ready);
+        let settings = &self.config.settings;
+        let (limit, connect) = (settings.order_timeout, settings.connect_timeout);
+        let names = self.name(worker).zip(match kind {
+            OrderKind::Probe => Some(String::new()),
+            _ => self.functions.name(function.0).map(str::to_string),
+        });
+        let Some((worker_name, name)) = names.filter(|_| ready) else {
+            // Rule 3 for orders, and an order that nobody takes must end for the module.
+            self.account.guarded += 1;
+            debug_assert!(ready, "an order to {worker:?}, which takes none");
+            if kind == OrderKind::Load {
+                self.unsent.push((worker, function));
+            }
+            return;
+        };
+        self.used(function);
+        let order = OrderId(self.next_order);
+        self.next_order += 1;
+        let span = if kind == OrderKind::Probe { PROBE_TIMEOUTS * connect } else { limit };
+        let timer = Some(self.timers.set(self.now.plus(span).0, Due::Order(order)));
+        let o = Order { kind, worker, function, sent: self.now, instances: n, withdrawn: false, timer };
+        self.order_list.insert(order, o);
+        out.push(match kind {
+            OrderKind::Probe => {
+                self.account.probes += 1;
+                Command::Probe { order, worker: worker_name }
+            }
+            OrderKind::Load => {
+                if n > 0 {
+                    self.account.loads += 1;
+                    self.believed.entry(function).or_default().loading += 1;
+                } else {
+                    self.account.asks += 1;
+                }
+                Command::Load { order, worker: worker_name, function: name, instances: n }
+            }
+            OrderKind::Unload => {
+                self.account.unloads += 1;
+                Command::Unload { order, worker: worker_name, function: name }
+            }
+        });
+    }
+
+    pub(super) fn on_order(&mut self, order: OrderId, seen: Seen, told: Told, out: &mut Vec<Command>) {
+        let Some(o) = self.order_list.remove(&order) else { return };
+        if let Some(timer) = o.timer {
+            self.timers.clear(timer);
+        }
+        // The answer to an order or a probe is its status; it need not carry pieces.
+        let outcome = match seen {
+            Seen::Status { code: 0, .. } => Outcome::Served,
+            _ if o.withdrawn => Outcome::TimedOut,
+            _ => verdict(seen, &told).outcome,
+        };
+        let latency = self.now.since(o.sent);
+        self.used(o.function);
+        match o.kind {
+            OrderKind::Probe => {
+                let report = told.report.map(Report::into);
+                self.tell(Event::ProbeDone { worker: o.worker, outcome, latency, report }, out);
+            }
+            OrderKind::Load => {
+                let instances = told.instances.filter(|_| outcome == Outcome::Served).unwrap_or(0);
+                let b = self.believed.entry(o.function).or_default();
+                if o.instances > 0 {
+                    b.loading = b.loading.saturating_sub(1);
+                }
+                if instances > 0 {
+                    b.warm_at = Some(self.now);
+                }
+                let (worker, function) = (o.worker, o.function);
+                if instances > 0 {
+                    self.lacking.clear(worker);
+                } else if o.instances > 0 || outcome != Outcome::Served {
+                    self.in_vain(worker, function, seen, out);
+                }
+                self.tell(Event::OrderDone { worker, function, outcome, latency, instances }, out);
+            }
+            OrderKind::Unload => {}
+        }
+    }
+
+    pub(super) fn in_vain(
+        &mut self,
+        worker: WorkerId,
+        function: FunctionId,
+        seen: Seen,
+        out: &mut Vec<Command>,
+    ) {
+        self.account.vain += 1;
+        let told = self.lacking.vain(self.now, worker, function, seen);
+        if let (Some(lack), Some((worker, function))) = (told, self.names_of(worker, function)) {
+            out.push(Command::Tell { worker, function, seen, count: lack.count });
+        }
+    }
+
+    pub(super) fn names_of(&self, worker: WorkerId, function: FunctionId) -> Option<(String, String)> {
+        self.name(worker).zip(self.functions.name(function.0).map(str::to_string))
+    }
+
+    /// Workers whose last order was in vain: their names, the function's, and what came of it.
+    pub fn lacking(&self) -> impl Iterator<Item = (String, String, &Lack)> {
+        self.lacking.iter().filter_map(|(w, l)| self.names_of(w, l.function).map(|(w, f)| (w, f, l)))
+    }
+}
--- /dev/null
+++ b/decide/front/src/ledger/terms.rs
@@ -0,0 +1,128 @@
+//! The settings' versions: taken up between two inputs, held to for the whole of a call.
+//!
+//! A call is decided by one version from its arrival to its end, over all its attempts: a class that a version changes gets
+//! a place of its own in the module's settings while calls of the old one are open. What bounds workers and orders, and
+//! how many attempts a call may have, holds for all from the moment of the change. Beliefs about workers stay.
+
+use super::*;
+use crate::config::{Contested, Terms};
+
+/// What comes when a lease runs out.
+#[derive(Debug)]
+pub(super) struct Lease {
+    pub(super) until: Time,
+    pub(super) after: Box<Terms>,
+}
+
+impl Front {
+    /// Takes calls by these terms from now on. With `lease`: until that moment, and by those others from then on, whoever
+    /// hears of it or not. On an error nothing changes.
+    pub fn adopt(&mut self, now: Time, terms: Terms, lease: Option<(Time, Terms)>) -> Result<(), BadConfig> {
+        terms.config.check()?;
+        if let Some((_, after)) = &lease {
+            after.config.check()?;
+        }
+        self.now = self.now.max(now);
+        self.switch(terms);
+        self.lease = lease.map(|(until, after)| Lease { until, after: Box::new(after) });
+        self.lapse();
+        Ok(())
+    }
+
+    /// The terms hold for longer. False: they hold no more, or never had an end.
+    pub fn renew(&mut self, now: Time, until: Time) -> bool {
+        self.now = self.now.max(now);
+        self.lapse();
+        self.lease.as_mut().map(|l| l.until = l.until.max(until)).is_some()
+    }
+
+    /// When the terms end, if they do.
+    pub fn until(&self) -> Option<Time> {
+        self.lease.as_ref().map(|l| l.until)
+    }
+
+    /// What is contested now.
+    pub fn contested(&self) -> &Contested {
+        &self.contested
+    }
+
+    /// A class's number in a [`Call`], by its name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        let place = self.config.classes.iter().position(|c| c == name)?;
+        self.places.get(place).copied()
+    }
+
+    /// A tenant's number in a [`Call`], by its name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.config.tenants.iter().position(|t| t == name)
+    }
+
+    /// Goes over to what comes after the lease, once that is out.
+    pub(super) fn lapse(&mut self) {
+        if let Some(lease) = self.lease.take_if(|l| l.until <= self.now) {
+            self.switch(*lease.after);
+        }
+    }
+
+    fn switch(&mut self, terms: Terms) {
+        let Terms { mut config, contested } = terms;
+        let (mut classes, mut names) = (self.config.settings.classes.clone(), self.class_names.clone());
+        let open: BTreeSet<usize> = self.calls.values().map(|c| c.class).collect();
+        let wanted = || config.classes.iter().zip(&config.settings.classes);
+        let same = |(name, class): (&String, &module::Class)| {
+            (0..classes.len()).find(|n| names[*n] == *name && classes[*n] == *class)
+        };
+        let mut places: Vec<Option<usize>> = wanted().map(same).collect();
+        let mut taken: BTreeSet<usize> = open.into_iter().chain(places.iter().flatten().copied()).collect();
+        for (place, (name, class)) in places.iter_mut().zip(wanted()) {
+            if place.is_some() {
+                continue;
+            }
+            // One of its own name first: what is known of its service times is the best guess.
+            let mut free: Vec<usize> = (0..classes.len()).filter(|n| !taken.contains(n)).collect();
+            free.sort_by_key(|n| names[*n] != *name);
+            let at = free.first().copied().unwrap_or(classes.len());
+            if at == classes.len() {
+                classes.push(class.clone());
+                names.push(name.clone());
+            } else {
+                (classes[at], names[at]) = (class.clone(), name.clone());
+            }
+            taken.insert(at);
+            *place = Some(at);
+        }
+        let places: Vec<usize> = places.into_iter().flatten().collect();
+        config.settings.classes = classes;
+        if let Err(e) = self.router.change(config.settings.clone()) {
+            debug_assert!(false, "settings that were checked: {e}");
+            self.account.guarded += 1;
+            return;
+        }
+        let before = std::mem::take(&mut self.config.functions);
+        for f in &mut config.functions {
+            f.class = places.get(f.class).copied().unwrap_or(0);
+            // A name whose number another holds, that is about to be forgotten, is known once that is.
+            let Ok(id) = self.functions.take(&f.name) else { continue };
+            self.learned.remove(&FunctionId(id));
+            self.specs.insert(FunctionId(id), f.clone());
+        }
+        for f in before.iter().filter(|f| !config.functions.iter().any(|g| g.name == f.name)) {
+            let id = FunctionId(crate::ids::number(&f.name));
+            self.specs.remove(&id);
+            self.learned.insert(id, self.now);
+        }
+        (self.config, self.places, self.class_names, self.contested) = (config, places, names, contested);
+    }
+
+    /// Whether a call is refused because front ends may not agree on it; with the advice to its client.
+    pub(super) fn contests(&self, call: &Call, class: usize) -> Option<Span> {
+        let c = &self.contested;
+        let class = self.class_names.get(class);
+        let tenant = self.config.tenants.get(call.tenant);
+        let named = class.is_some_and(|n| c.classes.contains(n))
+            || tenant.is_some_and(|n| c.tenants.contains(n))
+            || c.functions.contains(&call.function)
+            || c.unlisted && call.unlisted;
+        (c.all || named).then(|| c.for_about.min(self.config.settings.max_stay_away))
+    }
+}
--- a/decide/front/src/lib.rs
+++ b/decide/front/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`Front::step`] takes one [`Input`] with the time and adds [`Command`]s, to be carried out in order. It holds no
 //! clock, no sockets and no threads, so the gateway, a replay of a recorded day and an emulator run the same code.
 //!
-//! - [`ledger`]: the open calls and their attempts, the timers, the guards of the rules.
+//! - [`config`]: what a front is made of. [`message`]: what it is told, and what it wants done.
+//! - [`ledger`]: the open calls and their attempts, the timers, the guards of the rules; a room for each concern.
 //! - [`outcome`]: what a socket showed, and whether the attempt can have run.
 //! - [`account`]: what was taken, answered and sent; it must balance.
 //! - [`lacking`]: workers whose orders leave nothing, and when the operator is told.
@@ -11,12 +12,16 @@
 //! - [`record`]: inputs and commands as lines, and their replay.
 
 pub mod account;
+pub mod config;
 pub mod ids;
 pub mod lacking;
 pub mod ledger;
+pub mod message;
 pub mod outcome;
 pub mod record;
 
 pub use account::Account;
-pub use ledger::{Answer, Call, CallId, Command, Config, Front, FunctionSpec, Input, Listed, OrderId, Why};
+pub use config::{BadConfig, Config, Contested, FunctionSpec, Terms};
+pub use ledger::Front;
+pub use message::{Answer, Call, CallId, Command, Input, Listed, OrderId, Shape, Why};
 pub use outcome::{NeverRan, Note, Report, Seen, Stage, Told};
--- a/decide/front/src/record.rs
+++ b/decide/front/src/record.rs
@@ -1,6 +1,7 @@
 //! Inputs and commands as lines of JSON, so that a day can be played again with the same decisions.
 
-use crate::ledger::{Command, Front, Input};
+use crate::ledger::Front;
+use crate::message::{Command, Input};
 use serde::{Deserialize, Serialize};
 use tansyrouter::Time;
 
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -140,6 +140,7 @@
                     hint: None,
                     repeat: false,
                     shape: None,
+                    unlisted: false,
                 };
                 self.step(front, Input::Call(call));
             }
@@ -274,6 +275,7 @@
         hint: None,
         repeat: false,
         shape: None,
+        unlisted: false,
     })
 }
 
@@ -373,7 +375,7 @@
 }
 
 fn told_of(n: u64, function: &str) -> Input {
-    let shape = tansy_front::ledger::Shape { lanes: 1, memory_mb: 50.0, load_time: None };
+    let shape = tansy_front::Shape { lanes: 1, memory_mb: 50.0, load_time: None };
     match call(n, function, SECOND) {
         Input::Call(call) => Input::Call(Call { shape: Some(shape), class: Some(0), ..call }),
         other => other,
--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -117,11 +117,12 @@
             r.parameter(key).and_then(|v| v.as_str()).or(header).map(str::to_string)
         };
         let (class, tenant) = (text(&setup.class), text(&setup.tenant));
-        let place =
-            |names: &[String], name: Option<String>| names.iter().position(|n| Some(n) == name.as_ref());
-        let (class, tenant) = self.hub.with_front(|f| {
-            (place(&f.config().classes, class), place(&f.config().tenants, tenant).unwrap_or(0))
+        let found = self.hub.with_front(|f| {
+            let class = class.as_deref().map(|c| f.class(c));
+            (class, tenant.as_deref().map(|t| f.tenant(t)))
         });
+        let unlisted = matches!(found, (Some(None), _) | (_, Some(None)));
+        let (class, tenant) = (found.0.flatten(), found.1.flatten().unwrap_or(0));
         let hint = r.parameter(&setup.work_ms).and_then(|v| v.as_int());
         let hint = hint.or_else(|| text(&setup.work_ms)?.trim().parse().ok());
         // The whole stream's time-out bounds each of its calls; the clock of both began with the headers.
@@ -142,6 +143,7 @@
             hint: hint.filter(|h| *h > 0).map(|h| h.saturating_mul(1000)),
             repeat,
             shape: None,
+            unlisted,
         }
     }
 
--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -196,6 +196,7 @@
             hint: None,
             repeat: false,
             shape: Some(asked.shape),
+            unlisted: false,
         };
         s.open.insert(asked.id);
         let io = CallIo {
--- a/src/api.rs
+++ b/src/api.rs
@@ -61,7 +61,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Full worth is earned up to here after arrival.
     pub aim: Span,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -235,20 +235,21 @@
 impl Router {
     /// A router that knows nothing yet. The seed is for its random numbers.
     pub fn new(set: Settings, seed: u64, now: Time) -> Result<Router, BadSettings> {
-        let timeless = |c: &Class| c.aim <= 0 || c.deadline <= 0;
-        if set.classes.is_empty() || set.siblings == 0 || set.max_attempts == 0 {
+        let listed_at = now.plus(-set.ask_within);
+        let mut new = Router { seed, next_sweep: now, listed_at, began: now, ..Router::default() };
+        new.change(set).map(|()| new)
+    }
+
+    /// Other settings from here on; beliefs stay. Classes that open requests name must keep their places.
+    pub fn change(&mut self, set: Settings) -> Result<(), BadSettings> {
+        let last = self.requests.values().map(|r| r.class).max().unwrap_or(0);
+        if set.classes.len() <= last || set.siblings == 0 || set.max_attempts == 0 {
             return Err(BadSettings("no class of requests, no front end or no attempt".into()));
-        } else if set.classes.iter().any(timeless) {
+        } else if set.classes.iter().any(|c| c.aim <= 0 || c.deadline <= 0) {
             return Err(BadSettings("an aim or deadline not above zero".into()));
         }
-        Ok(Router {
-            seed,
-            next_sweep: now,
-            listed_at: now.plus(-set.ask_within),
-            began: now,
-            set,
-            ..Router::default()
-        })
+        (self.set, self.readings) = (set, self.readings + 1);
+        Ok(())
     }
 
     /// Takes one event and adds to `out` what is to be done, in order.
