Settings of a version: what stands in its file, in and out as text, with what a program does not know

Need: versions have to travel, be told apart field by field and come into force at programs whose schema is older or newer. Change: values say whether they are durations or sizes, so that a version is text again; names with dots travel. A version holds what stands in its file and not each front end's own fields; defaults are filled in by who reads it. Fields that a program does not know stop the calls that they touch and no others. Rules of any step, and of a front end without a lease, make settings; a class keyed at one version and not at the other repeats nothing. Settings name a fleet (one seat as yet).

--- a/decide/agree/src/rule.rs
+++ b/decide/agree/src/rule.rs
@@ -9,8 +9,12 @@
 pub enum Value {
     /// Yes or no.
     Flag(bool),
-    /// A whole number, a duration in microseconds or a size in bytes.
+    /// A whole number.
     Int(i64),
+    /// A duration, microseconds.
+    Span(i64),
+    /// A size, bytes.
+    Bytes(i64),
     /// A number.
     Number(f64),
     /// A name or a choice.
@@ -24,24 +28,77 @@
     fn compare(&self, other: &Value) -> Ordering {
         let sort = |v: &Value| match v {
             Value::Flag(_) => 0,
-            Value::Int(_) | Value::Number(_) => 1,
+            Value::Int(_) | Value::Span(_) | Value::Bytes(_) | Value::Number(_) => 1,
             Value::Text(_) => 2,
             Value::List(_) => 3,
         };
         match (self, other) {
             (Value::Flag(a), Value::Flag(b)) => a.cmp(b),
-            (Value::Int(a), Value::Int(b)) => a.cmp(b),
-            (Value::Int(a), Value::Number(b)) => (*a as f64).total_cmp(b),
-            (Value::Number(a), Value::Int(b)) => a.total_cmp(&(*b as f64)),
             (Value::Number(a), Value::Number(b)) => a.total_cmp(b),
+            (Value::Number(a), b) if b.whole().is_some() => a.total_cmp(&(b.whole().unwrap_or(0) as f64)),
+            (a, Value::Number(b)) if a.whole().is_some() => (a.whole().unwrap_or(0) as f64).total_cmp(b),
             (Value::Text(a), Value::Text(b)) => a.cmp(b),
             (Value::List(a), Value::List(b)) => {
                 let first = a.iter().zip(b).map(|(a, b)| a.compare(b)).find(|o| o.is_ne());
                 first.unwrap_or_else(|| a.len().cmp(&b.len()))
             }
-            _ => sort(self).cmp(&sort(other)),
+            _ => match (self.whole(), other.whole()) {
+                (Some(a), Some(b)) => a.cmp(&b),
+                _ => sort(self).cmp(&sort(other)),
+            },
         }
     }
+
+    fn whole(&self) -> Option<i64> {
+        match self {
+            Value::Int(n) | Value::Span(n) | Value::Bytes(n) => Some(*n),
+            _ => None,
+        }
+    }
+}
+
+impl std::fmt::Display for Value {
+    /// As a settings file writes it.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Value::Flag(b) => write!(f, "{b}"),
+            Value::Int(n) => write!(f, "{n}"),
+            Value::Span(n) => write!(f, "{n}us"),
+            Value::Bytes(n) => write!(f, "{n}B"),
+            Value::Number(x) => write!(f, "{x}"),
+            Value::Text(t) => f.write_str(&quoted(t)),
+            Value::List(all) => {
+                let all: Vec<String> = all.iter().map(Value::to_string).collect();
+                write!(f, "[{}]", all.join(", "))
+            }
+        }
+    }
+}
+
+/// A text in quotes, as a settings file writes it.
+pub fn quoted(text: &str) -> String {
+    let mut out = String::from("\"");
+    for c in text.chars() {
+        match c {
+            '"' | '\\' => out.extend(['\\', c]),
+            '\n' => out.push_str("\\n"),
+            '\t' => out.push_str("\\t"),
+            '\r' => out.push_str("\\r"),
+            c if c.is_control() => out.push_str(&format!("\\u{:04x}", c as u32)),
+            c => out.push(c),
+        }
+    }
+    out + "\""
+}
+
+/// A name as a part of a path: without dots.
+pub fn part(name: &str) -> String {
+    name.replace('%', "%25").replace('.', "%2e")
+}
+
+/// The name that is a part of a path.
+pub fn name(part: &str) -> String {
+    part.replace("%2e", ".").replace("%25", "%")
 }
 
 impl PartialEq for Value {
@@ -178,19 +235,18 @@
     }
 
     /// By a field's place: what stands under a class, tenant or function touches the calls of that one.
-    fn of(path: &str) -> Touch {
+    pub fn of(path: &str) -> Touch {
         let mut parts = path.splitn(3, '.');
         match (parts.next(), parts.next(), parts.next()) {
-            (Some("classes"), Some(c), Some(_)) => Touch::Class(c.into()),
-            (Some("tenants"), Some(t), Some(_)) => Touch::Tenant(t.into()),
-            (Some("functions"), Some(f), Some(_)) => Touch::Function(f.into()),
+            (Some("classes"), Some(c), Some(_)) => Touch::Class(name(c)),
+            (Some("tenants"), Some(t), Some(_)) => Touch::Tenant(name(t)),
+            (Some("functions"), Some(f), Some(_)) => Touch::Function(name(f)),
             _ => Touch::All,
         }
     }
 }
 
-/// Fields of the settings by their path, such as `classes.chat.window`. Names with dots in them are written quoted by
-/// who flattens the settings and are not taken apart here beyond the second dot.
+/// Fields of the settings by their path, such as `classes.chat.window`. Names in it are written by [`part`].
 pub type Fields = BTreeMap<String, Value>;
 
 /// How each field agrees, by patterns of paths in which `*` stands for one name. The first that fits holds; a field
@@ -249,7 +305,7 @@
     /// Whether some field stands under what this names.
     fn lists(&self, touch: &Touch) -> bool {
         let (group, Some(name)) = (touch.group(), touch.name()) else { return true };
-        let under = format!("{group}.{name}.");
+        let under = format!("{group}.{}.", part(name));
         self.fields.range(under.clone()..).next().is_some_and(|(p, _)| p.starts_with(&under))
     }
 
--- a/decide/front/tests/terms.rs
+++ b/decide/front/tests/terms.rs
@@ -201,9 +201,9 @@
     let refused = Some(Answer::Refused { stay_away: SECOND / 2 });
     let cases: [(fn(&mut Contested), [bool; 2]); 4] = [
         (|c| c.all = true, [true, true]),
-        (|c| drop(c.classes.insert("a".into())), [true, false]),
-        (|c| drop(c.functions.insert("b".into())), [false, true]),
-        (|c| drop(c.tenants.insert("acme".into())), [true, true]),
+        (|c| assert!(c.classes.insert("a".into())), [true, false]),
+        (|c| assert!(c.functions.insert("b".into())), [false, true]),
+        (|c| assert!(c.tenants.insert("acme".into())), [true, true]),
     ];
     for (n, (change, wanted)) in cases.into_iter().enumerate() {
         s.adopt(contested(change));
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -47,6 +47,34 @@
     pub address: SocketAddr,
 }
 
+/// A front end that keeps the agreed log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// Its name.
+    pub name: String,
+    /// Where its siblings reach it.
+    pub address: SocketAddr,
+}
+
+/// The fleet that a front end is in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Its name.
+    pub name: String,
+    /// The front end's name in it.
+    pub me: String,
+    /// Where siblings reach it.
+    pub listen: SocketAddr,
+    /// Who keeps the agreed log.
+    pub seats: Vec<Seat>,
+    /// A seat's file; none: it keeps no log.
+    pub state: Option<std::path::PathBuf>,
+    /// No two front ends contradict each other for longer, microseconds.
+    pub within: i64,
+    /// Bound on the error of any clock's rate, parts in a million.
+    pub clock_ppm: i64,
+}
+
 /// All settings.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -56,6 +84,8 @@
     pub gateway: Gateway,
     /// Workers that stand in the settings themselves.
     pub workers: Vec<WorkerLine>,
+    /// The fleet, if it is in one.
+    pub fleet: Option<Fleet>,
 }
 
 /// Reads fields of a concrete record; the schema has made sure of names and types.
@@ -262,6 +292,31 @@
     Some(out)
 }
 
+fn fleet(f: Fields<'_>, errors: &mut Vec<Diagnostic>) -> Option<Fleet> {
+    let mut seats = Vec::new();
+    for (n, item) in f.list("seats")?.iter().enumerate() {
+        let seat = Fields::of(item)?;
+        let address = address(seat, "address", &format!("fleet.seats[{n}].address"), errors);
+        seats.push(Seat { name: seat.text("name")?.to_string(), address: address? });
+    }
+    if seats.len() != 1 {
+        let what = format!("{} seats", seats.len());
+        let help = "want one front end that keeps the agreed log, as seats: [{name: \"a\", address: \"127.0.0.1:7001\"}]";
+        errors.push(f.wrong("seats", "fleet.seats", what, help));
+    }
+    let listen = address(f, "listen", "fleet.listen", errors);
+    let text = |name: &str| f.text(name).map(str::to_string);
+    Some(Fleet {
+        name: text("name")?,
+        me: text("me")?,
+        listen: listen?,
+        seats,
+        state: text("state").filter(|s| !s.is_empty()).map(Into::into),
+        within: f.int("within")?,
+        clock_ppm: f.int("clock_ppm")?,
+    })
+}
+
 pub(crate) fn settings(node: &Node, errors: &mut Vec<Diagnostic>) -> Option<Settings> {
     let all = Fields::of(node)?;
     let (front, worker, prices) = (all.inner("front")?, all.inner("worker")?, all.inner("prices")?);
@@ -386,5 +441,9 @@
         longest: front.int("longest")?,
         seed: u64::try_from(front.int("seed")?).ok()?,
     };
-    Some(Settings { front, gateway, workers })
+    let fleet = match all.inner("fleet") {
+        Some(f) => Some(fleet(f, errors)?),
+        None => None,
+    };
+    Some(Settings { front, gateway, workers, fleet })
 }
--- a/settings/src/schema.cue
+++ b/settings/src/schema.cue
@@ -82,10 +82,10 @@
     may_order:       bool | *true
     max_attempts:    int & >=1 & <=100 | *4
     kind_memory:     [...size] | *[]
-    cold_from:       number & >0 & <=1 | *0.2
+    cold_from:       number & >=0.000001 & <=1 | *0.2
     warm_up:         duration & >=0s | *10s
-    fall_multiple:   number & >0 | *2
-    fall_after:      duration & >0s | *2s
+    fall_multiple:   number & >=0.000001 | *2
+    fall_after:      duration & >=1us | *2s
     drain_grace:     duration & >=0s | *1s
     ration?:         #Ration
 }
@@ -97,6 +97,22 @@
     probe:      number & >=0 | *0
 }
 
+#Seat: {
+    name:    string & !=""
+    address: string                          // where its siblings reach it
+}
+
+// Front ends that agree on versions of the settings. What stands here is each front end's own.
+#Fleet: {
+    name:      string & !=""                 // front ends of another fleet are turned away
+    me:        string | *""                  // this front end's name in it
+    listen:    string | *"127.0.0.1:0"       // where its siblings reach it
+    seats:     [...#Seat] | *[]              // who keeps the agreed log
+    state:     string | *""                  // a seat's file
+    within:    duration & >=500ms & <=1h | *2s // no two contradict each other for longer
+    clock_ppm: int & >=0 & <=100000 | *1000  // bound on the error of any clock's rate, parts in a million
+}
+
 #Settings: {
     front:            #Front
     zones:            [...string] | *["local"]
@@ -108,6 +124,7 @@
     worker:           #Workers
     prices:           #Prices
     workers:          [...#Worker] | *[]
+    fleet?:           #Fleet
 }
 
 // The file of a list of workers.
--- a/settings/tests/agree.rs
+++ b/settings/tests/agree.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use tansy_agree::rule::{changes, contradictions, joint, lapsed, Fields, Kind, Rules, Touch, Value};
-use tansy_settings::agree::{agreement, fields};
+use tansy_settings::agree::{agreement, fields, filled, settings, text, unknown, version};
 
 /// A text in which every field of the schema stands, optional ones among them.
 const FULL: &str = r#"
@@ -13,6 +13,7 @@
 functions: f: {class: "chat", memory: 1GB, load_time: 1s}
 worker: ration: {free: 3, part: 0.5, period: 10s}
 workers: [{name: "w", address: "127.0.0.1:1", started: 5s}]
+fleet: {name: "north", seats: [{name: "a", address: "127.0.0.1:7001"}]}
 "#;
 
 fn of(text: &str) -> Fields {
@@ -50,6 +51,7 @@
         "Front" => Some("front."),
         "Workers" => Some("worker."),
         "Prices" => Some("prices."),
+        "Fleet" => Some("fleet."),
         "Settings" => Some(""),
         _ => None,
     };
@@ -78,7 +80,7 @@
     let old = of(FULL);
     let new = with("group: \"zone\", window: 20s", "group: \"cell\", window: 30s");
     let rules = joint(&agreement(), &old, &new);
-    assert_eq!(rules.fields["classes.chat.window"], Value::Int(20_000_000));
+    assert_eq!(rules.fields["classes.chat.window"], Value::Span(20_000_000));
     assert_eq!(rules.refused, BTreeSet::from([Touch::Class("chat".into())]));
     let changed: Vec<String> = changes(&agreement(), &old, &new).into_iter().map(|c| c.path).collect();
     assert_eq!(changed, ["classes.chat.group", "classes.chat.window"]);
@@ -102,3 +104,68 @@
     }
     assert_eq!(rules.fields["worker.may_order"], Value::Flag(false), "it loads nothing");
 }
+
+#[test]
+fn a_version_holds_what_its_file_says_and_nothing_of_defaults_or_of_a_front_ends_own() {
+    let file = r#"
+front: {siblings: 3, me: 1, listen: "127.0.0.1:9"}
+classes: "a.b%": {aim: 1s, deadline: 2s}
+functions: "f \"g\"": {class: "a.b%", memory: 1GB}
+worker: cold_from: 0.25
+"#;
+    let held = version("t.cue", file).expect("it is right");
+    let paths: Vec<&str> = held.keys().map(String::as_str).collect();
+    let class = "classes.a%2eb%25";
+    let wanted = [
+        &format!("{class}.aim"),
+        &format!("{class}.deadline"),
+        "front.siblings",
+        "functions.f \"g\".class",
+        "functions.f \"g\".memory",
+        "worker.cold_from",
+    ];
+    assert_eq!(paths, wanted);
+    assert_eq!(Touch::of(paths[0]), Touch::Class("a.b%".into()));
+    // The text of it is read to the same, and so is what is filled in.
+    assert_eq!(version("t.cue", &text(&held)).expect("its text is right"), held);
+    let (all, strange) = filled(&held).expect("it loads");
+    assert!(strange.is_empty());
+    assert_eq!(all["worker.max_attempts"], Value::Int(4));
+    assert!(!all.contains_key("front.me"));
+    assert_eq!(
+        fields("t.cue", &text(&all)).map(|mut f| f.remove("front.siblings")).ok(),
+        Some(Some(Value::Int(3)))
+    );
+}
+
+#[test]
+fn of_a_version_of_a_later_program_the_calls_that_are_touched_stop_and_the_rest_goes_on() {
+    let mut held = version("t.cue", FULL).expect("it is right");
+    assert_eq!(unknown(&held), Vec::<String>::new());
+    held.insert("classes.chat.sorrow".into(), Value::Int(3));
+    held.insert("worker.mood".into(), Value::Text("blue".into()));
+    let (all, strange) = filled(&held).expect("the rest loads");
+    assert_eq!(strange, BTreeSet::from([Touch::All, Touch::Class("chat".into())]));
+    assert!(!all.contains_key("worker.mood"));
+}
+
+#[test]
+fn rules_of_any_step_make_settings() {
+    let own = of(&FULL.replace("front: {zone: \"a\"}", "front: {zone: \"a\", me: 2, siblings: 5}"));
+    let now = of(FULL);
+    let safe = with("effect: \"keyed\", group: \"zone\", window: 20s", "effect: \"safe\"");
+    for rules in [
+        Rules::of(&now),
+        joint(&agreement(), &now, &safe),
+        joint(&agreement(), &safe, &now),
+        lapsed(&agreement(), &now),
+        lapsed(&agreement(), &safe),
+    ] {
+        let made = settings(&own, &rules.fields).unwrap_or_else(|e| panic!("{e}"));
+        assert!(made.front.settings.siblings > made.front.settings.me);
+        assert_eq!(made.front.settings.me, 2, "it is its own");
+    }
+    // Keyed at one and safe at the other is a class whose workers drop no repeat: no second attempt.
+    let both = settings(&own, &joint(&agreement(), &now, &safe).fields).expect("it makes sense");
+    assert_eq!(both.front.settings.classes[0].effect, tansyrouter::Effect::Unsafe);
+}
