One front end of a fleet as one state machine; stays, by which strict fields are acted on

Cause: a front end whose lease is out had to refuse every call that a strict field touches, and the key by which a call tells its class touches all: a seat away for a second would have stopped the whole service after 0.6 s. Change: strict fields are acted on by a stay, long and granted by the seat itself; their changes wait for every front end on the roster of the agreed log, until its stay is out, it starts anew under its name, or it is dismissed. Joint fields go by the short lease as before. tansy-peer joins membership, leases, stays and the seat's log (held before it is told, one entry at a time) without I/O.

--- a/decide/agree/src/lease.rs
+++ b/decide/agree/src/lease.rs
@@ -7,6 +7,7 @@
 //! Leases nest: who relays grants no longer than what is left of its own, so that its granter's waiting covers all below.
 
 use crate::log::Step;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Microseconds of the caller's monotonic clock, which must go on while the machine sleeps.
@@ -45,7 +46,7 @@
 }
 
 /// A front end's process: a name that comes back is another one with a larger incarnation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Its name's number.
     pub id: u64,
--- a/decide/agree/src/lib.rs
+++ b/decide/agree/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`lease`]: who may act on which step until when. A front end holds a lease from its parent, which is a seat or a
 //!   front end that relays; leases nest, so that a parent's answer for its children is all that its own parent needs.
 //! - [`member`]: a front end's part: whom it asks, to whom it lends, what it acts on.
+//! - [`stay`]: long leases, by which strict fields are acted on; changes of these wait for every front end.
 //! - [`list`]: the list of workers, merged from sources that disagree and lag; drains first.
 //!
 //! The whole rests on this: **a step that changes rules is taken only when no front end with a live lease is behind the
@@ -24,3 +25,4 @@
 pub mod log;
 pub mod member;
 pub mod rule;
+pub mod stay;
--- a/decide/agree/src/log.rs
+++ b/decide/agree/src/log.rs
@@ -13,9 +13,10 @@
 //! stricter of two back to one of them. One change goes on at a time: a proposal says the version that it starts from, and
 //! is refused when that is not the latest.
 
+use crate::lease::Member;
 use crate::rule::{changes, joint, Change, Fields, Kind, Rules, Schema};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A version of the settings; 1 is the first, 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -67,6 +68,19 @@
         /// The version that is given up.
         version: Version,
     },
+    /// A front end's process is about to act: from here on changes of strict fields wait for it. Its processes before are
+    /// over, since their name's address is taken by it.
+    Join {
+        /// Which.
+        member: Member,
+        /// Its name, for people.
+        name: String,
+    },
+    /// It is known to act no more.
+    Leave {
+        /// Which.
+        member: Member,
+    },
 }
 
 /// Why an entry changed nothing.
@@ -88,6 +102,10 @@
     Past,
     /// It is in force already, or was never under way.
     Over,
+    /// A later process of its name has joined.
+    Superseded,
+    /// More front ends than a fleet may have.
+    Full,
 }
 
 impl std::fmt::Display for Refused {
@@ -106,6 +124,10 @@
             Refused::Same => write!(f, "no field differs from the latest version"),
             Refused::Past => write!(f, "that step is taken already"),
             Refused::Over => write!(f, "that version is no change under way"),
+            Refused::Superseded => write!(f, "a later process of its name has joined"),
+            Refused::Full => {
+                write!(f, "{MEMBERS} front ends are in the fleet already: dismiss those that are gone")
+            }
         }
     }
 }
@@ -120,6 +142,8 @@
     Again(Version),
     /// A step was taken.
     Stepped(Step),
+    /// Who may act is another set, or the same.
+    Roster,
 }
 
 /// A version with its fields.
@@ -170,6 +194,8 @@
 
 /// Versions that are remembered for `history` and `revert`.
 pub const KEPT: usize = 256;
+/// Names that the roster holds at most.
+pub const MEMBERS: usize = 10_000;
 
 /// The outcome of all entries so far.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,6 +203,8 @@
     state: State,
     given: Version,
     past: VecDeque<Settings>,
+    /// Who may act by a stay: by name, the process and the name in words.
+    roster: BTreeMap<u64, (u64, String)>,
 }
 
 impl Log {
@@ -184,7 +212,8 @@
     pub fn new(fields: Fields) -> Log {
         let force = Settings { version: Version(1), fields, why: "the first".into(), id: 0 };
         let past = VecDeque::from([force.clone()]);
-        Log { state: State { step: Step(1), force, next: None }, given: Version(1), past }
+        let state = State { step: Step(1), force, next: None };
+        Log { state, given: Version(1), past, roster: BTreeMap::new() }
     }
 
     /// What is to be acted on.
@@ -197,6 +226,23 @@
         self.past.iter()
     }
 
+    /// Who may act by a stay, with the names in words.
+    pub fn roster(&self) -> impl Iterator<Item = (Member, &str)> {
+        self.roster
+            .iter()
+            .map(|(id, (incarnation, name))| (Member { id: *id, incarnation: *incarnation }, name.as_str()))
+    }
+
+    /// Whether this process is on the roster.
+    pub fn lists(&self, member: Member) -> bool {
+        self.roster.get(&member.id).is_some_and(|(incarnation, _)| *incarnation == member.incarnation)
+    }
+
+    /// Whether the change under way touches a strict field: it then waits for all on the roster.
+    pub fn strict(&self, schema: &Schema) -> bool {
+        self.state.contested(schema).iter().any(|c| c.kind == Kind::Strict)
+    }
+
     /// Whether the change under way has a step to take, once all have reached the one before it.
     pub fn unsettled(&self) -> bool {
         self.state.next.is_some()
@@ -209,7 +255,24 @@
             Entry::Advance { from } if from != self.state.step => Err(Refused::Past),
             Entry::Advance { .. } => self.advance(),
             Entry::Abandon { version } => self.abandon(version),
+            Entry::Join { member, name } => self.join(member, name),
+            Entry::Leave { member } => {
+                if self.lists(member) {
+                    self.roster.remove(&member.id);
+                }
+                Ok(Applied::Roster)
+            }
+        }
+    }
+
+    fn join(&mut self, member: Member, name: String) -> Result<Applied, Refused> {
+        match self.roster.get(&member.id) {
+            Some((known, _)) if *known > member.incarnation => return Err(Refused::Superseded),
+            None if self.roster.len() >= MEMBERS => return Err(Refused::Full),
+            _ => {}
         }
+        self.roster.insert(member.id, (member.incarnation, name));
+        Ok(Applied::Roster)
     }
 
     fn propose(&mut self, id: u64, base: Version, fields: Fields, why: String) -> Result<Applied, Refused> {
--- a/decide/agree/src/rule.rs
+++ b/decide/agree/src/rule.rs
@@ -365,6 +365,20 @@
     rules
 }
 
+/// The rules of a front end whose lease is out while its stay is not: every joint field at the value that binds most, since
+/// a version that it doesn't know may be in force; strict fields as they are, since no change of one goes by without it.
+pub fn apart(schema: &Schema, known: Rules) -> Rules {
+    let without = lapsed(schema, &known.fields);
+    let joint = |path: &str| matches!(schema.kind(path), Kind::Joint(..));
+    let mut fields = known.fields;
+    fields.extend(without.fields.into_iter().filter(|(path, _)| joint(path)));
+    let refuses = |(path, _): (&String, &Value)| {
+        matches!(schema.kind(path), Kind::Joint(_, Lapsed::Refuse)).then(|| Touch::of(path))
+    };
+    let refused = fields.iter().filter_map(refuses).chain(known.refused).collect();
+    Rules { fields, refused, unlisted: known.unlisted }
+}
+
 /// The rules of a front end that can't know what is in force by now: free fields as they were, joint ones at the value
 /// that binds most, calls that any other field touches refused, and so are calls of what is not known at all.
 pub fn lapsed(schema: &Schema, known: &Fields) -> Rules {
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -16,7 +16,7 @@
 use crate::lacking::{Lack, Lacking};
 use crate::message::{Answer, Call, CallId, Command, Input, Listed, OrderId, Why};
 use crate::outcome::{verdict, Report, Seen, Told};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use tansy_wheel::{Handle, Wheel};
 use tansyrouter as module;
 use tansyrouter::{
@@ -126,7 +126,7 @@
     places: Vec<usize>,
     class_names: Vec<String>,
     contested: Contested,
-    lease: Option<terms::Lease>,
+    ends: VecDeque<terms::End>,
     now: Time,
     functions: Names,
     specs: HashMap<FunctionId, FunctionSpec>,
@@ -165,7 +165,7 @@
             places: (0..config.classes.len()).collect(),
             class_names: config.classes.clone(),
             contested: Contested::default(),
-            lease: None,
+            ends: VecDeque::new(),
             now,
             functions,
             specs,
--- a/decide/front/src/ledger/calls.rs
+++ b/decide/front/src/ledger/calls.rs
@@ -10,6 +10,15 @@
         }
         let spec = self.function_of(&call).and_then(|f| self.specs.get(&f));
         let Some(spec) = spec else {
+            // A version that can't be known may have it.
+            if self.contested.unlisted {
+                let stay_away = self.contested.for_about.min(self.config.settings.max_stay_away);
+                self.account.taken += 1;
+                (self.account.refused, self.account.contested) =
+                    (self.account.refused + 1, self.account.contested + 1);
+                out.push(Command::Answer { call: id, answer: Answer::Refused { stay_away } });
+                return;
+            }
             self.account.unknown += 1;
             out.push(Command::Answer { call: id, answer: Answer::Unknown });
             return;
--- a/decide/front/src/ledger/terms.rs
+++ b/decide/front/src/ledger/terms.rs
@@ -9,36 +9,40 @@
 
 /// What comes when a lease runs out.
 #[derive(Debug)]
-pub(super) struct Lease {
-    pub(super) until: Time,
-    pub(super) after: Box<Terms>,
+pub(super) struct End {
+    at: Time,
+    after: Box<Terms>,
 }
 
 impl Front {
-    /// Takes calls by these terms from now on. With `lease`: until that moment, and by those others from then on, whoever
-    /// hears of it or not. On an error nothing changes.
-    pub fn adopt(&mut self, now: Time, terms: Terms, lease: Option<(Time, Terms)>) -> Result<(), BadConfig> {
+    /// Takes calls by these terms from now on, and by each of `ends` from its moment on, whoever hears of it or not; they
+    /// are in their order. On an error nothing changes.
+    pub fn adopt(&mut self, now: Time, terms: Terms, ends: Vec<(Time, Terms)>) -> Result<(), BadConfig> {
         terms.config.check()?;
-        if let Some((_, after)) = &lease {
+        for (_, after) in &ends {
             after.config.check()?;
         }
         self.now = self.now.max(now);
         self.switch(terms);
-        self.lease = lease.map(|(until, after)| Lease { until, after: Box::new(after) });
+        self.ends = ends.into_iter().map(|(at, after)| End { at, after: Box::new(after) }).collect();
         self.lapse();
         Ok(())
     }
 
-    /// The terms hold for longer. False: they hold no more, or never had an end.
-    pub fn renew(&mut self, now: Time, until: Time) -> bool {
+    /// The terms hold for longer: until these moments, one for each end. False: some have passed, and nothing changes.
+    pub fn renew(&mut self, now: Time, ends: &[Time]) -> bool {
         self.now = self.now.max(now);
         self.lapse();
-        self.lease.as_mut().map(|l| l.until = l.until.max(until)).is_some()
+        let all = ends.len() == self.ends.len();
+        if all {
+            self.ends.iter_mut().zip(ends).for_each(|(e, at)| e.at = e.at.max(*at));
+        }
+        all
     }
 
     /// When the terms end, if they do.
     pub fn until(&self) -> Option<Time> {
-        self.lease.as_ref().map(|l| l.until)
+        self.ends.front().map(|e| e.at)
     }
 
     /// What is contested now.
@@ -57,10 +61,10 @@
         self.config.tenants.iter().position(|t| t == name)
     }
 
-    /// Goes over to what comes after the lease, once that is out.
+    /// Goes over to what comes after a lease, once that is out.
     pub(super) fn lapse(&mut self) {
-        if let Some(lease) = self.lease.take_if(|l| l.until <= self.now) {
-            self.switch(*lease.after);
+        while self.ends.front().is_some_and(|e| e.at <= self.now) {
+            self.ends.pop_front().into_iter().for_each(|end| self.switch(*end.after));
         }
     }
 
--- /dev/null
+++ b/decide/peer/src/lib.rs
@@ -0,0 +1,366 @@
+//! One front end of a fleet, as one state machine.
+//!
+//! [`Peer`] joins what `tansy-agree` and `tansy-members` hold apart: who is there, under which lease and stay this front
+//! end acts and on what, and, at a seat, the agreed log. It takes what arrives with the time and gives [`Command`]s. It
+//! holds no clock, no sockets and no disk, so the gateway and the model run the same code.
+//!
+//! Times are microseconds of one monotonic clock of the caller that goes on while the machine sleeps.
+
+mod seat;
+
+pub use seat::{Refusal, Waits};
+
+use seat::Keeper;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tansy_agree::lease::{Member, Terms, Time};
+use tansy_agree::log::{Applied, Entry, Log, State, Step};
+use tansy_agree::member::{Front, Message};
+use tansy_agree::rule::{Kind, Schema};
+use tansy_agree::stay::{self, Stay};
+use tansy_members::{Members, Name, News, Pace, Stranger};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between two tries to find the fleet, and between two asks for a first stay.
+const AGAIN: Time = 200_000;
+/// A stay is asked for again after this part of it ...
+const STAY_PART: Time = 4;
+/// ... and at least so often: the seat wants to know who lives, at little cost.
+const STAY_MOST: Time = 30_000_000;
+/// Addresses that are remembered of those who wrote and are not known as members yet.
+const HEARD: usize = 1024;
+
+/// The number of a front end's or a fleet's name.
+pub fn number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// What a front end of a fleet is.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet's number.
+    pub fleet: u64,
+    /// Its name in words.
+    pub name: String,
+    /// Its process, and where it is reached.
+    pub me: Name,
+    /// The number of the front end that keeps the log, and where it is reached.
+    pub seat: (u64, SocketAddr),
+    /// Leases.
+    pub lease: Terms,
+    /// Stays.
+    pub stay: Terms,
+    /// Of membership.
+    pub pace: Pace,
+    /// How fields agree.
+    pub schema: Schema,
+    /// Of its random choices.
+    pub seed: u64,
+}
+
+/// What passes between two front ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// A datagram of membership.
+    Members(Vec<u8>),
+    /// Of leases and steps.
+    Lease(Message<State>),
+    /// For a stay, with the name in words.
+    AskStay(stay::Ask, String),
+    /// A stay.
+    Stay(stay::Grant),
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send to the front end at this address. Nothing rests on its arrival, its order or its being alone.
+    Send {
+        /// Where.
+        to: SocketAddr,
+        /// What.
+        body: Body,
+    },
+    /// Hold an entry, then call [`Peer::held`]. One at a time.
+    Hold {
+        /// The entry.
+        entry: Entry,
+    },
+    /// The outcome of a request for an entry.
+    Answer {
+        /// The request's number.
+        request: u64,
+        /// What came of it.
+        outcome: Result<Applied, Refusal>,
+    },
+    /// Tell the operator.
+    Note(Note),
+}
+
+/// What an operator wants to read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A front end is there, or is no more.
+    Member(News),
+    /// This front end's step: the log's at a seat, else what its lease is for.
+    Step {
+        /// Which.
+        step: Step,
+        /// The version in force there.
+        force: u64,
+        /// The version under way, if any.
+        next: Option<u64>,
+    },
+    /// The lease ran out, or there is one again.
+    Lease {
+        /// Whether there is one.
+        live: bool,
+    },
+    /// The stay ran out, or there is one again.
+    Stay {
+        /// Whether there is one.
+        live: bool,
+    },
+    /// A datagram was thrown away.
+    Stranger(Stranger),
+    /// A change that touches strict fields did not get through in time and is given up.
+    GivenUp {
+        /// The version.
+        version: u64,
+        /// Who was not known to have come as far.
+        behind: Vec<Member>,
+    },
+    /// The seat's disk failed: it takes no entry until it is started again.
+    Disk {
+        /// Why.
+        why: String,
+    },
+}
+
+/// What a front end acts on.
+#[derive(Clone, Copy, Debug)]
+pub struct Acting<'a> {
+    /// What it knows last; none: nothing yet.
+    pub state: Option<&'a State>,
+    /// What is left of its lease, microseconds.
+    pub lease: Time,
+    /// What is left of its stay, microseconds.
+    pub stay: Time,
+}
+
+/// A front end.
+pub struct Peer {
+    setup: Setup,
+    members: Members,
+    front: Front<State>,
+    stay: Stay,
+    next_stay: Time,
+    next_join: Time,
+    keeper: Option<Keeper>,
+    heard: BTreeMap<u64, SocketAddr>,
+    noted: (Step, bool, bool),
+}
+
+impl Peer {
+    /// One that starts from nothing. With a log it is the seat: what its disk holds.
+    pub fn new(setup: Setup, log: Option<Log>, now: Time) -> Peer {
+        let members = Members::new(setup.fleet, setup.me.clone(), setup.pace, setup.seed);
+        let me = setup.me.member();
+        let view = members.view(setup.seat.0);
+        let front = match &log {
+            Some(log) => Front::seat(setup.lease, me, view, log.state().clone(), Time::MAX, now),
+            None => Front::new(setup.lease, me, view, now),
+        };
+        let keeper = log.map(|log| Keeper::new(log, setup.stay, now));
+        let stay = Stay::new(setup.stay, me);
+        let (heard, noted) = (BTreeMap::new(), (Step(0), false, false));
+        Peer { setup, members, front, stay, next_stay: now, next_join: now, keeper, heard, noted }
+    }
+
+    /// Its setup.
+    pub fn setup(&self) -> &Setup {
+        &self.setup
+    }
+
+    /// What it acts on now. Whoever acts has to look again once the lease or the stay is over.
+    pub fn acting(&self, now: Time) -> Acting<'_> {
+        let stay = if self.keeper.is_some() { Time::MAX } else { self.stay.left(now) };
+        Acting { state: self.front.known(), lease: self.front.left(now), stay }
+    }
+
+    /// The others that are there.
+    pub fn others(&self) -> impl Iterator<Item = &Name> {
+        self.members.all()
+    }
+
+    /// The agreed log, at a seat.
+    pub fn log(&self) -> Option<&Log> {
+        self.keeper.as_ref().map(Keeper::log)
+    }
+
+    /// What the change under way waits for, at a seat.
+    pub fn waits(&self, now: Time) -> Option<Waits> {
+        self.keeper.as_ref()?.waits(now, &self.front, &self.setup.schema)
+    }
+
+    /// When [`Peer::tick`] has something to do.
+    pub fn next(&self) -> Time {
+        let stay = if self.keeper.is_some() { Time::MAX } else { self.next_stay };
+        let seat = self.keeper.as_ref().map_or(Time::MAX, Keeper::next);
+        let all = [self.members.next().unwrap_or(Time::MAX), self.front.next(), stay, self.next_join, seat];
+        all.into_iter().min().unwrap_or(Time::MAX)
+    }
+
+    /// What time brings.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.members.tick(now);
+        if now >= self.next_join {
+            // Until somebody is known the seat is asked; it knows the others.
+            let alone = self.members.all().next().is_none() && self.setup.seat.0 != self.setup.me.id;
+            if alone {
+                let (id, address) = self.setup.seat;
+                self.members.join(now, Name::new(id, 0, address));
+            }
+            self.next_join = now + AGAIN * if alone { 1 } else { 10 };
+        }
+        self.spread(now, out);
+        let mut letters = Vec::new();
+        self.front.tick(now, &mut letters);
+        self.post(letters, out);
+        if self.keeper.is_none() && now >= self.next_stay {
+            self.ask_stay(now, out);
+        }
+        self.go_on(now, out);
+    }
+
+    /// Takes what a front end wrote.
+    pub fn hear(&mut self, now: Time, from: &Name, body: Body, out: &mut Vec<Command>) {
+        if from.id == self.setup.me.id {
+            return;
+        }
+        if self.heard.len() < HEARD || self.heard.contains_key(&from.id) {
+            self.heard.insert(from.id, from.address);
+        }
+        match body {
+            Body::Members(bytes) => {
+                if let Err(stranger) = self.members.hear(now, &bytes) {
+                    out.push(Command::Note(Note::Stranger(stranger)));
+                }
+                self.spread(now, out);
+            }
+            Body::Lease(message) => {
+                let mut letters = Vec::new();
+                self.front.hear(now, from.id, message, &mut letters);
+                self.post(letters, out);
+            }
+            Body::AskStay(ask, name) => {
+                let member = from.member();
+                if let Some(keeper) = self.keeper.as_mut().filter(|_| ask.from == member) {
+                    if let Some(grant) = keeper.stay(now, ask, name) {
+                        out.push(Command::Send { to: from.address, body: Body::Stay(grant) });
+                    }
+                }
+            }
+            Body::Stay(grant) => {
+                if from.id == self.setup.seat.0 {
+                    self.stay.granted(grant);
+                }
+            }
+        }
+        self.go_on(now, out);
+    }
+
+    /// Asks for an entry; the answer comes with this number.
+    pub fn request(&mut self, now: Time, request: u64, entry: Entry, out: &mut Vec<Command>) {
+        match &mut self.keeper {
+            Some(keeper) => keeper.request(request, entry, out),
+            None => {
+                let outcome = Err(Refusal::NotSeat { seat: self.setup.seat.1 });
+                out.push(Command::Answer { request, outcome });
+            }
+        }
+        self.go_on(now, out);
+    }
+
+    /// The entry that was to be held is held, or can't be.
+    pub fn held(&mut self, now: Time, done: Result<(), String>, out: &mut Vec<Command>) {
+        let Some(keeper) = &mut self.keeper else { return };
+        if let Some(state) = keeper.held(now, done, out) {
+            let mut letters = Vec::new();
+            self.front.stepped(now, state, &mut letters);
+            self.post(letters, out);
+        }
+        self.go_on(now, out);
+    }
+
+    /// It leaves: the others need not find out. Its stay at the seat goes on until that knows.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.members.leave(now);
+        self.spread(now, out);
+    }
+
+    fn spread(&mut self, now: Time, out: &mut Vec<Command>) {
+        for d in self.members.take_out() {
+            out.push(Command::Send { to: d.to.address, body: Body::Members(d.bytes) });
+        }
+        let news = self.members.take_news();
+        if !news.is_empty() {
+            self.front.knows(self.members.view(self.setup.seat.0));
+            let mut letters = Vec::new();
+            self.front.tick(now, &mut letters);
+            self.post(letters, out);
+        }
+        out.extend(news.into_iter().map(|n| Command::Note(Note::Member(n))));
+    }
+
+    /// Puts addresses on letters; one to nobody known is dropped, as the network might.
+    fn post(&mut self, letters: Vec<(u64, Message<State>)>, out: &mut Vec<Command>) {
+        for (id, message) in letters {
+            let member = self.members.all().find(|n| n.id == id).map(|n| n.address);
+            let seat = (id == self.setup.seat.0).then_some(self.setup.seat.1);
+            let to = seat.or(member).or_else(|| self.heard.get(&id).copied());
+            out.extend(to.map(|to| Command::Send { to, body: Body::Lease(message) }));
+        }
+    }
+
+    fn ask_stay(&mut self, now: Time, out: &mut Vec<Command>) {
+        let at = self.front.known().map_or(Step(0), |s| s.step);
+        let often = (self.setup.stay.span / STAY_PART).min(STAY_MOST);
+        self.next_stay = now + if self.stay.left(now) == 0 { AGAIN } else { often };
+        // One that knows nothing acts on nothing: it has no need of a stay.
+        if at > Step(0) {
+            let body = Body::AskStay(self.stay.ask(now, at), self.setup.name.clone());
+            out.push(Command::Send { to: self.setup.seat.1, body });
+        }
+    }
+
+    /// What follows of what happened: steps of the log, and what is told.
+    fn go_on(&mut self, now: Time, out: &mut Vec<Command>) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.go_on(now, &self.front, &self.setup.schema, out);
+        }
+        let (step, strict) = match self.front.known() {
+            Some(s) => (s.step, s.contested(&self.setup.schema).iter().any(|c| c.kind == Kind::Strict)),
+            None => (Step(0), false),
+        };
+        if step != self.noted.0 {
+            if let Some(s) = self.front.known() {
+                let next = s.next.as_ref().map(|(n, _)| n.version.0);
+                out.push(Command::Note(Note::Step { step, force: s.force.version.0, next }));
+            }
+            // The seat waits for all where the change is of what must never be two things; and a first stay is urgent.
+            if self.keeper.is_none() && (strict || self.stay.left(now) == 0) {
+                self.ask_stay(now, out);
+            }
+        }
+        let acting = self.acting(now);
+        let (lease, stay) = (acting.lease > 0, acting.stay > 0);
+        if lease != self.noted.1 {
+            out.push(Command::Note(Note::Lease { live: lease }));
+        }
+        if stay != self.noted.2 && self.keeper.is_none() {
+            out.push(Command::Note(Note::Stay { live: stay }));
+        }
+        self.noted = (step, lease, stay);
+    }
+}
--- a/settings/src/agree.rs
+++ b/settings/src/agree.rs
@@ -23,7 +23,6 @@
 /// The kinds of all fields. Fields that are a front end's own are free: `front.me`, its addresses, what it holds.
 pub fn agreement() -> Schema {
     use Kind::{Free, Strict};
-    let refuse = || Kind::Joint(Stricter::Least, Lapsed::Refuse);
     let effects = Stricter::First(&["unsafe", "keyed", "safe"]);
     Schema::new([
         // What a call is counted as must be one thing over all.
@@ -31,8 +30,6 @@
         ("front.tenant_key", Strict),
         // Budgets are divided by it: the larger number leaves the smaller parts.
         ("front.siblings", most(Value::Int(100_000))),
-        ("front.longest", least(Value::Span(1))),
-        ("front.answer_slack", least(Value::Span(0))),
         ("front.*", Free),
         ("zones", Free),
         // What a repeat may do.
@@ -45,8 +42,8 @@
         ("classes.*.worth", Free),
         ("classes.*.late_worth", Free),
         ("classes.*.streamed", Free),
-        ("tenants.*.quota_per_s", refuse()),
-        ("tenants.*.fraction", refuse()),
+        ("tenants.*.quota_per_s", least(Value::Number(LEAST))),
+        ("tenants.*.fraction", least(Value::Number(0.0))),
         ("over_quota_worth", Free),
         ("worth_by_work", Free),
         // A function's class says what a repeat of its calls may do.
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -71,6 +71,8 @@
     pub state: Option<std::path::PathBuf>,
     /// No two front ends contradict each other for longer, microseconds.
     pub within: i64,
+    /// How long a front end that is cut off goes on with strict fields, microseconds; changes of them wait for it.
+    pub stay: i64,
     /// Bound on the error of any clock's rate, parts in a million.
     pub clock_ppm: i64,
 }
@@ -313,6 +315,7 @@
         seats,
         state: text("state").filter(|s| !s.is_empty()).map(Into::into),
         within: f.int("within")?,
+        stay: f.int("stay")?,
         clock_ppm: f.int("clock_ppm")?,
     })
 }
--- a/settings/src/schema.cue
+++ b/settings/src/schema.cue
@@ -13,7 +13,7 @@
 }
 
 #Tenant: {
-    quota_per_s: number & >0
+    quota_per_s: number & >=0.000001
     fraction:    number & >=0 & <=1 | *1
 }
 
@@ -110,6 +110,7 @@
     seats:     [...#Seat] | *[]              // who keeps the agreed log
     state:     string | *""                  // a seat's file
     within:    duration & >=500ms & <=1h | *2s // no two contradict each other for longer
+    stay:      duration & >=1s & <=168h | *1h // one cut off goes on with strict fields for so long, and changes of them wait
     clock_ppm: int & >=0 & <=100000 | *1000  // bound on the error of any clock's rate, parts in a million
 }
 
