--- /dev/null
+++ b/protocol/fleet/src/lib.rs
@@ -0,0 +1,233 @@
+//! What front ends of a fleet write to each other, and what its operators ask: messages as bytes, and back as the types of
+//! `tansy-agree`. What comes back is checked: lengths, depths, and that what must be there is.
+
+/// The messages, as the file `proto/fleet.proto` has them.
+#[allow(missing_docs, clippy::all)]
+pub mod pb {
+    include!(concat!(env!("OUT_DIR"), "/tansy.fleet.rs"));
+}
+
+use prost::Message as _;
+use std::net::SocketAddr;
+use tansy_agree::lease::{Ask, Grant, Member};
+use tansy_agree::log::{Phase, Settings, State, Step, Version};
+use tansy_agree::member::Message;
+use tansy_agree::rule::{Fields, Value};
+use tansy_agree::stay;
+use tansy_members::Name;
+use tansy_peer::Body;
+
+/// The form of the messages; another one is turned away.
+pub const FORM: u32 = 1;
+/// Bytes of a letter.
+pub const LARGEST: usize = 4 << 20;
+/// Bytes of a name, an address or a reason.
+pub const WORDS: usize = 4096;
+/// Lists within lists.
+const DEPTH: usize = 8;
+/// The service's path.
+pub const SERVICE: &str = "/tansy.fleet.Fleet/";
+
+/// Why a letter is thrown away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// It can't be read at all.
+    Noise(String),
+    /// It is of another form: of a program that can't be understood.
+    Form(u32),
+    /// It is of another fleet.
+    Fleet,
+    /// A part is missing, or is no such thing.
+    Part(&'static str),
+}
+
+impl std::fmt::Display for Bad {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Bad::Noise(why) => write!(f, "a letter that can't be read: {why}"),
+            Bad::Form(n) => {
+                write!(f, "a letter of form {n}, this program knows form {FORM}: one of the two is too old")
+            }
+            Bad::Fleet => {
+                write!(f, "a letter of another fleet: two fleets are wired to each other; look at fleet.name and fleet.seats")
+            }
+            Bad::Part(part) => write!(f, "a letter without a right {part}"),
+        }
+    }
+}
+impl std::error::Error for Bad {}
+
+/// A letter as bytes.
+pub fn letter(fleet: u64, from: &Name, body: Body) -> Vec<u8> {
+    use pb::letter::Body as B;
+    let body = match body {
+        Body::Members(bytes) => B::Members(bytes),
+        Body::Lease(Message::Ask(a)) => {
+            B::Ask(pb::Ask { from: Some(member(a.from)), seq: a.seq, at: a.at.0, has: a.has.0 })
+        }
+        Body::Lease(Message::Grant(g)) => B::Grant(pb::Grant {
+            to: Some(member(g.to)),
+            seq: g.seq,
+            span: g.span,
+            step: g.step.0,
+            state: g.state.as_ref().map(state),
+        }),
+        Body::Lease(Message::Step(s)) => B::Step(s.0),
+        Body::Lease(Message::Reached { from, at }) => {
+            B::Reached(pb::Reached { from: Some(member(from)), at: at.0 })
+        }
+        Body::AskStay(a, name) => {
+            B::StayAsk(pb::StayAsk { from: Some(member(a.from)), seq: a.seq, at: a.at.0, name })
+        }
+        Body::Stay(g) => B::StayGrant(pb::StayGrant { to: Some(member(g.to)), seq: g.seq, span: g.span }),
+    };
+    pb::Letter { form: FORM, fleet, from: Some(process(from)), body: Some(body) }.encode_to_vec()
+}
+
+/// A letter of this fleet, with its sender.
+pub fn read(fleet: u64, bytes: &[u8]) -> Result<(Name, Body), Bad> {
+    let letter = pb::Letter::decode(bytes).map_err(|e| Bad::Noise(e.to_string()))?;
+    if letter.form != FORM {
+        return Err(Bad::Form(letter.form));
+    } else if letter.fleet != fleet {
+        return Err(Bad::Fleet);
+    }
+    let from = name(letter.from.ok_or(Bad::Part("sender"))?)?;
+    use pb::letter::Body as B;
+    let body = match letter.body.ok_or(Bad::Part("body"))? {
+        B::Members(bytes) => Body::Members(bytes),
+        B::Ask(a) => Body::Lease(Message::Ask(Ask {
+            from: of_member(a.from)?,
+            seq: a.seq,
+            at: Step(a.at),
+            has: Step(a.has),
+        })),
+        B::Grant(g) => Body::Lease(Message::Grant(Grant {
+            to: of_member(g.to)?,
+            seq: g.seq,
+            span: g.span,
+            step: Step(g.step),
+            state: g.state.map(of_state).transpose()?,
+        })),
+        B::Step(n) => Body::Lease(Message::Step(Step(n))),
+        B::Reached(r) => Body::Lease(Message::Reached { from: of_member(r.from)?, at: Step(r.at) }),
+        B::StayAsk(a) => {
+            let ask = stay::Ask { from: of_member(a.from)?, seq: a.seq, at: Step(a.at) };
+            Body::AskStay(ask, words(a.name, "name")?)
+        }
+        B::StayGrant(g) => Body::Stay(stay::Grant { to: of_member(g.to)?, seq: g.seq, span: g.span }),
+    };
+    Ok((from, body))
+}
+
+fn words(text: String, what: &'static str) -> Result<String, Bad> {
+    if text.len() > WORDS {
+        Err(Bad::Part(what))
+    } else {
+        Ok(text)
+    }
+}
+
+/// A process as it is written.
+pub fn process(name: &Name) -> pb::Process {
+    let (id, incarnation, life) = (name.id, name.incarnation, name.life);
+    pb::Process { id, incarnation, life, address: name.address.to_string() }
+}
+
+fn name(p: pb::Process) -> Result<Name, Bad> {
+    let address: SocketAddr = p.address.parse().map_err(|_| Bad::Part("sender's address"))?;
+    Ok(Name { id: p.id, incarnation: p.incarnation, life: p.life, address })
+}
+
+/// A member as it is written.
+pub fn member(m: Member) -> pb::Member {
+    pb::Member { id: m.id, incarnation: m.incarnation }
+}
+
+fn of_member(m: Option<pb::Member>) -> Result<Member, Bad> {
+    let m = m.ok_or(Bad::Part("member"))?;
+    Ok(Member { id: m.id, incarnation: m.incarnation })
+}
+
+fn value(v: &Value) -> pb::Value {
+    use pb::value::Kind as K;
+    let kind = match v {
+        Value::Flag(b) => K::Flag(*b),
+        Value::Int(n) => K::Int(*n),
+        Value::Span(n) => K::Span(*n),
+        Value::Bytes(n) => K::Bytes(*n),
+        Value::Number(x) => K::Number(*x),
+        Value::Text(t) => K::Text(t.clone()),
+        Value::List(all) => K::List(pb::Values { values: all.iter().map(value).collect() }),
+    };
+    pb::Value { kind: Some(kind) }
+}
+
+fn of_value(v: pb::Value, depth: usize) -> Result<Value, Bad> {
+    use pb::value::Kind as K;
+    Ok(match v.kind.ok_or(Bad::Part("value"))? {
+        K::Flag(b) => Value::Flag(b),
+        K::Int(n) => Value::Int(n),
+        K::Span(n) => Value::Span(n),
+        K::Bytes(n) => Value::Bytes(n),
+        K::Number(x) if x.is_finite() => Value::Number(x),
+        K::Number(_) => return Err(Bad::Part("number")),
+        K::Text(t) => Value::Text(t),
+        K::List(_) if depth == 0 => return Err(Bad::Part("value: lists within lists")),
+        K::List(all) => {
+            let all = all.values.into_iter().map(|v| of_value(v, depth - 1));
+            Value::List(all.collect::<Result<_, _>>()?)
+        }
+    })
+}
+
+/// A version as it is written.
+pub fn settings(s: &Settings) -> pb::Settings {
+    pb::Settings {
+        version: s.version.0,
+        fields: s.fields.iter().map(|(p, v)| (p.clone(), value(v))).collect(),
+        why: s.why.clone(),
+        id: s.id,
+    }
+}
+
+/// A version as it was written.
+pub fn of_settings(s: pb::Settings) -> Result<Settings, Bad> {
+    let field = |(path, v)| Ok((words(path, "field's path")?, of_value(v, DEPTH)?));
+    let fields = s.fields.into_iter().map(field).collect::<Result<Fields, Bad>>()?;
+    Ok(Settings { version: Version(s.version), fields, why: words(s.why, "reason")?, id: s.id })
+}
+
+/// What is acted on, as it is written.
+pub fn state(s: &State) -> pb::State {
+    let phase = match s.next.as_ref().map(|(_, p)| p) {
+        None => pb::Phase::None,
+        Some(Phase::Told) => pb::Phase::Told,
+        Some(Phase::Joint) => pb::Phase::Joint,
+        Some(Phase::Back) => pb::Phase::Back,
+    };
+    pb::State {
+        step: s.step.0,
+        force: Some(settings(&s.force)),
+        next: s.next.as_ref().map(|(n, _)| settings(n)),
+        phase: phase as i32,
+    }
+}
+
+/// What is acted on, as it was written.
+pub fn of_state(s: pb::State) -> Result<State, Bad> {
+    let phase = match pb::Phase::try_from(s.phase) {
+        Ok(pb::Phase::None) => None,
+        Ok(pb::Phase::Told) => Some(Phase::Told),
+        Ok(pb::Phase::Joint) => Some(Phase::Joint),
+        Ok(pb::Phase::Back) => Some(Phase::Back),
+        Err(_) => return Err(Bad::Part("phase")),
+    };
+    let force = of_settings(s.force.ok_or(Bad::Part("version in force"))?)?;
+    let next = match (s.next, phase) {
+        (Some(next), Some(phase)) => Some((of_settings(next)?, phase)),
+        (None, None) => None,
+        _ => return Err(Bad::Part("version under way")),
+    };
+    Ok(State { step: Step(s.step), force, next })
+}
