--- /dev/null
+++ b/net/peers/src/hub.rs
@@ -0,0 +1,304 @@
+//! Gives what arrives to the state machine and carries out its commands.
+
+use crate::ask::ask;
+use crate::disk::{Disk, Held};
+use crate::serve;
+use calloop::channel::Event;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tansy_agree::lease::Time;
+use tansy_agree::log::{Applied, Entry};
+use tansy_agree::rule::Fields;
+use tansy_fleet_wire::letter;
+use tansy_net_grpc::link::{Limits as LinkLimits, Link};
+use tansy_net_grpc::server::{Limits, Server};
+use tansy_net_sockets::{clock, Spawner};
+use tansy_peer::{Body, Command, Note, Peer, Refusal};
+
+/// Letters on their way to one front end; further ones are dropped, as a network drops them.
+const ON_THE_WAY: usize = 64;
+/// A letter that is not taken by then is of no use.
+const LETTER_WITHIN: Duration = Duration::from_secs(1);
+/// The state machine is looked at at least so often, and at most.
+const LOOK_MOST: Time = 50_000;
+const LOOK_LEAST: Time = 500;
+/// A link that nothing was sent on for so long is let go.
+const UNUSED: Time = 60_000_000;
+/// Requests for entries that wait for their answer.
+const REQUESTS: usize = 256;
+/// Bounds of what siblings and operators send.
+const LIMITS: Limits = Limits {
+    connections: 2048,
+    streams: 256,
+    header_bytes: 8 * 1024,
+    stream_window: 64 * 1024,
+    message_bytes: tansy_fleet_wire::LARGEST,
+    preface_within: Duration::from_secs(5),
+};
+
+/// Whether a version's fields make sense as a whole; the reason, if not.
+pub type Check = Rc<dyn Fn(&Fields) -> Result<(), String>>;
+/// Is told, before anything that follows from it leaves, that the front end may act on something else by now; gives what
+/// is wrong if it can't.
+pub type Acts = Rc<dyn Fn(&Peer, Time) -> Option<String>>;
+
+/// What a front end's place in a fleet is made of.
+pub struct Setup {
+    /// The state machine's; its own address is filled in.
+    pub peer: tansy_peer::Setup,
+    /// The fleet's name in words.
+    pub fleet: String,
+    /// A seat's file, and the fields that a fleet which begins has as its first version.
+    pub seat: Option<(PathBuf, Fields)>,
+    /// Front ends that are reached through another address than their own.
+    pub via: HashMap<SocketAddr, SocketAddr>,
+    /// Of versions.
+    pub check: Check,
+}
+
+struct Way {
+    link: Rc<Link>,
+    letters: Cell<usize>,
+    used: Cell<Time>,
+}
+
+/// The outcome of a request for an entry, once it is there.
+#[derive(Default)]
+pub(crate) struct Slot {
+    outcome: RefCell<Option<Result<Applied, Refusal>>>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Slot {
+    pub(crate) fn poll(&self, cx: &Context<'_>) -> Poll<Result<Applied, Refusal>> {
+        if let Some(outcome) = self.outcome.borrow_mut().take() {
+            return Poll::Ready(outcome);
+        }
+        *self.waker.borrow_mut() = Some(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// A front end's place in a fleet.
+pub struct Peers {
+    pub(crate) spawner: Spawner,
+    pub(crate) fleet: String,
+    pub(crate) check: Check,
+    pub(crate) peer: RefCell<Peer>,
+    pub(crate) error: RefCell<Option<String>>,
+    acts: Acts,
+    disk: Option<Disk>,
+    via: HashMap<SocketAddr, SocketAddr>,
+    ways: RefCell<HashMap<SocketAddr, Rc<Way>>>,
+    slots: RefCell<HashMap<u64, Rc<Slot>>>,
+    next_request: Cell<u64>,
+    dropped: Cell<u64>,
+    server: RefCell<Option<Rc<Server>>>,
+}
+
+/// Why a place in a fleet can't be taken.
+pub type Error = Box<dyn std::error::Error>;
+
+impl Peers {
+    /// Takes its place, on a listener whose address its siblings know.
+    pub fn start(
+        spawner: Spawner,
+        listener: TcpListener,
+        mut setup: Setup,
+        acts: Acts,
+    ) -> Result<Rc<Peers>, Error> {
+        setup.peer.me.address = listener.local_addr()?;
+        let fleet = setup.peer.fleet;
+        let (mut disk, mut log, mut held) = (None, None, None);
+        if let Some((path, first)) = setup.seat {
+            let (d, l, h) = Disk::open(&path, first).map_err(|e| format!("{}: {e}", path.display()))?;
+            (disk, log, held) = (Some(d), Some(l), Some(h));
+        }
+        let peer = Peer::new(setup.peer, log, clock::now());
+        let peers = Rc::new(Peers {
+            spawner: spawner.clone(),
+            fleet: setup.fleet,
+            check: setup.check,
+            peer: RefCell::new(peer),
+            error: RefCell::new(None),
+            acts,
+            disk,
+            via: setup.via,
+            ways: RefCell::new(HashMap::new()),
+            slots: RefCell::new(HashMap::new()),
+            next_request: Cell::new(0),
+            dropped: Cell::new(0),
+            server: RefCell::new(None),
+        });
+        if let Some(held) = held {
+            let p = peers.clone();
+            let inserted = spawner.handle().insert_source(held, move |event, _, ()| {
+                if let Event::Msg(done) = event {
+                    p.held(done);
+                }
+            });
+            inserted.map_err(|e| io::Error::other(e.to_string()))?;
+        }
+        let server = Server::start(spawner.clone(), listener, LIMITS, serve::handler(peers.clone(), fleet))?;
+        *peers.server.borrow_mut() = Some(server);
+        let p = peers.clone();
+        spawner.spawn(async move {
+            loop {
+                let next = p.peer.borrow().next() - clock::now();
+                p.spawner.sleep(Duration::from_micros(next.clamp(LOOK_LEAST, LOOK_MOST) as u64)).await;
+                if p.peer.borrow().next() <= clock::now() {
+                    p.turn(Peer::tick);
+                }
+                p.let_go();
+            }
+        });
+        Ok(peers)
+    }
+
+    /// Reads the state machine.
+    pub fn with_peer<T>(&self, f: impl FnOnce(&Peer, Time) -> T) -> T {
+        f(&self.peer.borrow(), clock::now())
+    }
+
+    /// Tells the others that it leaves, and takes no more connections.
+    pub fn leave(self: &Rc<Self>) {
+        self.turn(Peer::leave);
+        if let Some(server) = &*self.server.borrow() {
+            server.close();
+        }
+    }
+
+    /// Letters that were dropped because too many were on their way.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.get()
+    }
+
+    pub(crate) fn turn(self: &Rc<Self>, act: impl FnOnce(&mut Peer, Time, &mut Vec<Command>)) {
+        let mut out = Vec::new();
+        {
+            let mut peer = self.peer.borrow_mut();
+            act(&mut peer, clock::now(), &mut out);
+            // What it acts on comes before what it says of it: a letter that tells a step is the promise to act on none
+            // before it.
+            *self.error.borrow_mut() = (self.acts)(&peer, clock::now());
+        }
+        out.into_iter().for_each(|c| self.carry_out(c));
+    }
+
+    fn held(self: &Rc<Self>, done: Held) {
+        self.turn(|p, now, out| p.held(now, done, out));
+    }
+
+    fn carry_out(self: &Rc<Self>, command: Command) {
+        match command {
+            Command::Send { to, body } => self.send(to, body),
+            Command::Hold { entry } => {
+                if !self.disk.as_ref().is_some_and(|d| d.hold(entry)) {
+                    let me = self.clone();
+                    self.spawner.spawn(async move { me.held(Err("the seat's thread has ended".into())) });
+                }
+            }
+            Command::Answer { request, outcome } => {
+                if let Some(slot) = self.slots.borrow_mut().remove(&request) {
+                    *slot.outcome.borrow_mut() = Some(outcome);
+                    slot.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+                }
+            }
+            Command::Note(note) => tell(&note),
+        }
+    }
+
+    fn send(self: &Rc<Self>, to: SocketAddr, body: Body) {
+        let bytes = {
+            let peer = self.peer.borrow();
+            letter(peer.setup().fleet, &peer.setup().me, body)
+        };
+        let way = {
+            let mut ways = self.ways.borrow_mut();
+            let fresh = || {
+                let at = self.via.get(&to).copied().unwrap_or(to);
+                let link = Link::new(self.spawner.clone(), at, LinkLimits::default());
+                Rc::new(Way { link, letters: Cell::new(0), used: Cell::new(0) })
+            };
+            ways.entry(to).or_insert_with(fresh).clone()
+        };
+        if way.letters.get() >= ON_THE_WAY {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        way.letters.set(way.letters.get() + 1);
+        way.used.set(clock::now());
+        let spawner = self.spawner.clone();
+        self.spawner.spawn(async move {
+            if let Err(e) = ask(&spawner, &way.link, "Tell", &bytes, LETTER_WITHIN).await {
+                tracing::debug!(%to, error = %e, "a letter did not arrive");
+                if matches!(e, crate::ask::Failed::Refused(..)) {
+                    tracing::warn!(%to, error = %e, "a front end turns letters away");
+                }
+            }
+            way.letters.set(way.letters.get() - 1);
+        });
+    }
+
+    fn let_go(&self) {
+        let now = clock::now();
+        self.ways.borrow_mut().retain(|_, w| {
+            let stays = w.letters.get() > 0 || now - w.used.get() < UNUSED;
+            if !stays {
+                w.link.retire();
+            }
+            stays
+        });
+    }
+
+    /// Asks for an entry; none: too many wait.
+    pub(crate) fn enter(self: &Rc<Self>, entry: Entry) -> Option<Rc<Slot>> {
+        if self.slots.borrow().len() >= REQUESTS {
+            return None;
+        }
+        let request = self.next_request.get() + 1;
+        self.next_request.set(request);
+        let slot = Rc::new(Slot::default());
+        self.slots.borrow_mut().insert(request, slot.clone());
+        self.turn(|p, now, out| p.request(now, request, entry, out));
+        Some(slot)
+    }
+}
+
+fn tell(note: &Note) {
+    match note {
+        Note::Member(news) => tracing::info!(member = ?news, "membership"),
+        Note::Step { step, force, next } => {
+            tracing::info!(step = step.0, force, next = next.unwrap_or(0), "a step of the fleet");
+        }
+        Note::Lease { live: true } => tracing::info!("a lease is held"),
+        Note::Lease { live: false } => {
+            tracing::warn!(
+                "the lease is out: the stricter side of every limit holds until there is one again"
+            );
+        }
+        Note::Stay { live: true } => tracing::info!("a stay is held"),
+        Note::Stay { live: false } => {
+            tracing::error!(
+                "the stay is out: calls that strict fields touch are refused until the seat is reached"
+            );
+        }
+        Note::Stranger(why) => tracing::warn!(%why, "a datagram was thrown away"),
+        Note::GivenUp { version, behind } => {
+            tracing::error!(
+                version,
+                ?behind,
+                "a change was stuck while calls were refused for it, and is given up"
+            );
+        }
+        Note::Disk { why } => {
+            tracing::error!(%why, "the seat's disk takes no entry: no change until it is mended and the seat started again");
+        }
+    }
+}
--- /dev/null
+++ b/net/peers/src/serve.rs
@@ -0,0 +1,216 @@
+//! What is asked of this front end: letters of its siblings, and operators' requests.
+
+use crate::hub::Peers;
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::RecvStream;
+use http::Request;
+use prost::Message;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+use tansy_agree::log::{Applied, Entry, Version};
+use tansy_agree::rule::Touch;
+use tansy_fleet_wire::{member, of_settings, pb, process, read, settings, state, Bad, LARGEST, SERVICE};
+use tansy_frames::grpc::{frame, Code};
+use tansy_net_grpc::server::{head, refuse, trailers, Handler, Messages};
+use tansy_net_sockets::within;
+use tansy_peer::Refusal;
+
+/// Time for a request to come in whole.
+const REQUEST_WITHIN: Duration = Duration::from_secs(5);
+/// Time for an entry to be held.
+const ENTRY_WITHIN: Duration = Duration::from_secs(10);
+
+type Answer = Result<Vec<u8>, (Code, String)>;
+
+pub(crate) fn handler(peers: Rc<Peers>, fleet: u64) -> Handler {
+    Rc::new(move |request, respond| {
+        let peers = peers.clone();
+        let spawner = peers.spawner.clone();
+        spawner.spawn(async move { serve(&peers, fleet, request, respond).await });
+    })
+}
+
+async fn serve(
+    peers: &Rc<Peers>,
+    fleet: u64,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let (parts, body) = request.into_parts();
+    let method = parts.uri.path().strip_prefix(SERVICE).unwrap_or("").to_string();
+    let mut messages = Messages::new(body, LARGEST);
+    let mut first = None;
+    let message = poll_fn(|cx| messages.poll_one(&mut first, cx));
+    let message = within(peers.spawner.sleep(REQUEST_WITHIN), message).await;
+    let Some(Ok(Some(message))) = message else {
+        return refuse(&mut respond, trailers(Code::InvalidArgument, "no message came whole"));
+    };
+    let answer = match method.as_str() {
+        "Tell" => tell(peers, fleet, &message),
+        "Status" => status(peers, fleet, &message),
+        "Enter" => enter(peers, fleet, &message).await,
+        "History" => history(peers, fleet, &message),
+        _ => Err((Code::Unimplemented, format!("{method:?} is no method of a fleet's front end"))),
+    };
+    match answer {
+        Ok(bytes) => {
+            // Fails only if the other side has gone.
+            if let Ok(mut send) = respond.send_response(head(), false) {
+                let whole = send.send_data(frame(&bytes), false);
+                let _ = whole.and_then(|()| send.send_trailers(trailers(Code::Ok, "")));
+            }
+        }
+        Err((code, why)) => refuse(&mut respond, trailers(code, &why)),
+    }
+}
+
+fn tell(peers: &Rc<Peers>, fleet: u64, bytes: &[u8]) -> Answer {
+    match read(fleet, bytes) {
+        Ok((from, body)) => {
+            peers.turn(|p, now, out| p.hear(now, &from, body, out));
+            Ok(pb::Taken {}.encode_to_vec())
+        }
+        Err(bad) => {
+            let code = match bad {
+                Bad::Form(_) | Bad::Fleet => Code::FailedPrecondition,
+                Bad::Noise(_) | Bad::Part(_) => Code::InvalidArgument,
+            };
+            Err((code, bad.to_string()))
+        }
+    }
+}
+
+/// An operator may leave the fleet out; one that names another is turned away.
+fn same(peers: &Peers, asked: u64, fleet: u64) -> Result<(), (Code, String)> {
+    if asked == 0 || asked == fleet {
+        return Ok(());
+    }
+    Err((Code::FailedPrecondition, format!("this front end is of the fleet {:?}", peers.fleet)))
+}
+
+fn bad(e: &impl std::fmt::Display) -> (Code, String) {
+    (Code::InvalidArgument, e.to_string())
+}
+
+fn in_words(touch: &Touch) -> String {
+    match touch {
+        Touch::All => "all".into(),
+        Touch::Class(n) => format!("class {n}"),
+        Touch::Tenant(n) => format!("tenant {n}"),
+        Touch::Function(n) => format!("function {n}"),
+    }
+}
+
+fn status(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
+    let asked = pb::StatusRequest::decode(bytes).map_err(|e| bad(&e))?;
+    same(peers, asked.fleet, fleet)?;
+    let reply = peers.with_peer(|p, now| {
+        let (setup, acting) = (p.setup(), p.acting(now));
+        let contested = acting.state.map(|s| s.contested(&setup.schema)).unwrap_or_default();
+        let mut contested: Vec<String> = contested.iter().map(|c| in_words(&c.touch)).collect();
+        contested.sort();
+        contested.dedup();
+        let roster = p.log().map(|l| l.roster().collect::<Vec<_>>()).unwrap_or_default();
+        let waits = p.waits(now);
+        pb::StatusReply {
+            fleet: peers.fleet.clone(),
+            name: setup.name.clone(),
+            process: Some(process(&setup.me)),
+            seat: setup.seat.1.to_string(),
+            keeps_log: p.log().is_some(),
+            state: acting.state.map(state),
+            lease_left: acting.lease,
+            stay_left: acting.stay,
+            others: p.others().map(process).collect(),
+            contested: contested.into_iter().map(|calls| pb::Contested { calls }).collect(),
+            roster: roster
+                .into_iter()
+                .map(|(m, n)| pb::Rostered { member: Some(member(m)), name: n.into() })
+                .collect(),
+            waits_for_leases: waits.as_ref().is_some_and(|w| w.leases),
+            waits_for: waits.map(|w| w.stays.into_iter().map(member).collect()).unwrap_or_default(),
+            error: peers.error.borrow().clone().unwrap_or_default(),
+        }
+    });
+    Ok(reply.encode_to_vec())
+}
+
+async fn enter(peers: &Rc<Peers>, fleet: u64, bytes: &[u8]) -> Answer {
+    use pb::enter_request::Entry as E;
+    let asked = pb::EnterRequest::decode(bytes).map_err(|e| bad(&e))?;
+    same(peers, asked.fleet, fleet)?;
+    let entry = match asked.entry.ok_or_else(|| bad(&"no entry"))? {
+        E::Propose(s) => {
+            let s = of_settings(s).map_err(|e| bad(&e))?;
+            if s.id == 0 {
+                return Err(bad(
+                    &"a proposal without an id of its own: asked again, it could not be told from another",
+                ));
+            }
+            (peers.check)(&s.fields).map_err(|e| bad(&e))?;
+            Entry::Propose { id: s.id, base: s.version, fields: s.fields, why: s.why }
+        }
+        E::Abandon(version) => Entry::Abandon { version: Version(version) },
+        E::Dismiss(name) => {
+            let found = peers.with_peer(|p, _| {
+                let log = p.log()?;
+                let found = log.roster().find(|(_, n)| *n == name).map(|(m, _)| m);
+                Some(found)
+            });
+            match found {
+                Some(Some(member)) => Entry::Leave { member },
+                Some(None) => {
+                    return Err((Code::NotFound, format!("nobody named {name:?} is on the roster")))
+                }
+                None => Entry::Abandon { version: Version(0) },
+            }
+        }
+    };
+    let slot = peers.enter(entry);
+    let slot = slot.ok_or((Code::ResourceExhausted, "too many requests wait: ask again later".into()))?;
+    let outcome = within(peers.spawner.sleep(ENTRY_WITHIN), poll_fn(|cx| slot.poll(cx))).await;
+    let Some(outcome) = outcome else {
+        let why =
+            "the seat's disk did not hold it in time: ask again, with the same id, to learn what came of it";
+        return Err((Code::Unavailable, why.into()));
+    };
+    match outcome {
+        Ok(applied) => {
+            let version = match &applied {
+                Applied::Told(v) | Applied::Again(v) => v.0,
+                Applied::Stepped(_) | Applied::Roster => 0,
+            };
+            Ok(pb::EnterReply { version, again: matches!(applied, Applied::Again(_)) }.encode_to_vec())
+        }
+        Err(refusal) => {
+            let code = match refusal {
+                Refusal::Log(_) => Code::Aborted,
+                Refusal::NotSeat { .. } => Code::FailedPrecondition,
+                Refusal::Busy => Code::ResourceExhausted,
+                Refusal::Disk(_) => Code::Unavailable,
+            };
+            Err((code, refusal.to_string()))
+        }
+    }
+}
+
+fn history(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
+    let asked = pb::HistoryRequest::decode(bytes).map_err(|e| bad(&e))?;
+    same(peers, asked.fleet, fleet)?;
+    peers.with_peer(|p, _| {
+        let Some(log) = p.log() else {
+            let seat = p.setup().seat.1;
+            let why = format!("this front end keeps no log: ask the seat at {seat}");
+            return Err((Code::FailedPrecondition, why));
+        };
+        let s = log.state();
+        let reply = pb::HistoryReply {
+            versions: log.history().map(settings).collect(),
+            force: s.force.version.0,
+            next: s.next.as_ref().map_or(0, |(n, _)| n.version.0),
+        };
+        Ok(reply.encode_to_vec())
+    })
+}
--- a/net/sockets/src/lib.rs
+++ b/net/sockets/src/lib.rs
@@ -1,5 +1,6 @@
 //! Sockets, tasks and time-outs on a calloop loop, one thread: what every protocol of the project stands on.
 
+pub mod clock;
 pub mod socket;
 pub mod timers;
 
