--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -215,7 +215,7 @@
     }
     /// Whether calls are taken.
     pub fn ready(&self) -> bool {
-        !self.closing && self.ready_workers() > 0
+        !self.closing && !self.contested.all && self.ready_workers() > 0
     }
     /// A function by name.
     pub fn function(&self, name: &str) -> Option<&FunctionSpec> {
--- a/decide/front/src/ledger/terms.rs
+++ b/decide/front/src/ledger/terms.rs
@@ -45,6 +45,17 @@
         self.ends.front().map(|e| e.at)
     }
 
+    /// The settings that it acts by, as [`Front::adopt`] took them: with their own list of classes.
+    pub fn settings(&self) -> Config {
+        let mut config = self.config.clone();
+        let of = |place: &usize| config.settings.classes[*place].clone();
+        let classes = self.places.iter().map(of).collect();
+        config.settings.classes = classes;
+        let place = |class: usize| self.places.iter().position(|p| *p == class).unwrap_or(0);
+        config.functions.iter_mut().for_each(|f| f.class = place(f.class));
+        config
+    }
+
     /// What is contested now.
     pub fn contested(&self) -> &Contested {
         &self.contested
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -69,6 +69,8 @@
     AskStay(stay::Ask, String),
     /// A stay.
     Stay(stay::Grant),
+    /// To the seat: it acts no more, and never again.
+    Gone(Member),
 }
 
 /// What is to be done, in this order.
@@ -261,6 +263,12 @@
                     }
                 }
             }
+            Body::Gone(member) => {
+                let own = member == from.member();
+                if let Some(keeper) = self.keeper.as_mut().filter(|k| own && k.log().lists(member)) {
+                    keeper.gone(member);
+                }
+            }
             Body::Stay(grant) => {
                 if from.id == self.setup.seat.0 {
                     self.stay.granted(grant);
@@ -293,8 +301,11 @@
         self.go_on(now, out);
     }
 
-    /// It leaves: the others need not find out. Its stay at the seat goes on until that knows.
+    /// It acts no more: the others need not find out, and nothing waits for it.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
+        if self.keeper.is_none() {
+            out.push(Command::Send { to: self.setup.seat.1, body: Body::Gone(self.setup.me.member()) });
+        }
         self.members.leave(now);
         self.spread(now, out);
     }
--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -111,6 +111,13 @@
         None
     }
 
+    /// It acts no more.
+    pub(crate) fn gone(&mut self, member: Member) {
+        if self.broken.is_none() && self.waiting.len() < WAITING {
+            self.waiting.push_back(Pending { entry: Entry::Leave { member }, request: None });
+        }
+    }
+
     pub(crate) fn request(&mut self, request: u64, entry: Entry, out: &mut Vec<Command>) {
         let refusal = match &self.broken {
             Some(why) => Refusal::Disk(why.clone()),
--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -111,7 +111,7 @@
 impl Incoming {
     /// What a request is, as the ledger wants it; `on_stream` reads the parameter `timeout`.
     fn call(&self, id: CallId, r: &scan::Request<'_>, on_stream: bool) -> Call {
-        let setup = &self.hub.setup.names;
+        let setup = self.hub.names();
         let text = |key: &str| -> Option<String> {
             let header = self.headers.get(key).and_then(|v| v.to_str().ok());
             r.parameter(key).and_then(|v| v.as_str()).or(header).map(str::to_string)
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -11,14 +11,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Waker};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tansy_frames::grpc::frame;
 use tansy_front::record::Step;
-use tansy_front::{Account, Answer, Call, CallId, Command, Front, Input, Listed, OrderId, Seen, Told};
+use tansy_front::{
+    Account, Answer, BadConfig, Call, CallId, Command, Front, Input, Listed, OrderId, Seen, Terms, Told,
+};
 use tansy_inference::{amend, scan};
 use tansy_net_grpc::link::{Limits as LinkLimits, Link};
 use tansy_net_grpc::server::Limits;
-use tansy_net_sockets::Spawner;
+use tansy_net_sockets::{clock, Spawner};
 use tansyrouter::Time;
 
 /// Metadata keys, and request parameters of the same names, in which a call tells what it is.
@@ -140,19 +142,14 @@
     pub spawner: Spawner,
     /// Its bounds and names.
     pub setup: Setup,
-    epoch: Instant,
+    names: RefCell<Rc<Names>>,
+    epoch: i64,
     state: RefCell<State>,
 }
 
 impl Hub {
     /// A hub around a ledger. `record` gets every step of the ledger as a line.
-    pub fn new(
-        spawner: Spawner,
-        front: Front,
-        setup: Setup,
-        epoch: Instant,
-        record: Option<Box<dyn Write>>,
-    ) -> Rc<Hub> {
+    pub fn new(spawner: Spawner, front: Front, setup: Setup, record: Option<Box<dyn Write>>) -> Rc<Hub> {
         let state = RefCell::new(State {
             front,
             inputs: VecDeque::new(),
@@ -166,12 +163,35 @@
             record,
             list: Vec::new(),
         });
-        Rc::new(Hub { spawner, setup, epoch, state })
+        let names = RefCell::new(Rc::new(setup.names.clone()));
+        Rc::new(Hub { spawner, setup, names, epoch: clock::now(), state })
     }
 
     /// The ledger's clock.
     pub fn now(&self) -> Time {
-        Time(i64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(i64::MAX))
+        Time(clock::now() - self.epoch)
+    }
+
+    /// Where calls tell what they are.
+    pub fn names(&self) -> Rc<Names> {
+        self.names.borrow().clone()
+    }
+
+    /// Takes calls by these terms from now on, and by each of `ends` when so many microseconds have passed. On an error
+    /// nothing changes.
+    pub fn adopt(&self, terms: Terms, names: Names, ends: Vec<(i64, Terms)>) -> Result<(), BadConfig> {
+        let now = self.now();
+        let ends = ends.into_iter().map(|(after, t)| (now.plus(after), t)).collect();
+        self.state.borrow_mut().front.adopt(now, terms, ends)?;
+        *self.names.borrow_mut() = Rc::new(names);
+        Ok(())
+    }
+
+    /// The terms hold for so long from now, one figure for each end. False: some have ended.
+    pub fn renew(&self, ends: &[i64]) -> bool {
+        let now = self.now();
+        let ends: Vec<Time> = ends.iter().map(|after| now.plus(*after)).collect();
+        self.state.borrow_mut().front.renew(now, &ends)
     }
 
     /// How long the loop may sleep before it has to call [`Hub::tick`].
--- a/net/front/src/side.rs
+++ b/net/front/src/side.rs
@@ -17,7 +17,10 @@
         "/live" | "/v2/health/live" => ("200 OK", "live\n".into()),
         "/ready" | "/v2/health/ready" => match hub.with_front(|f| f.ready()) {
             true => ("200 OK", "ready\n".into()),
-            false => ("503 Service Unavailable", "no worker takes work, or closing\n".into()),
+            false => (
+                "503 Service Unavailable",
+                "no worker takes work, no version is agreed on, or closing\n".into(),
+            ),
         },
         "/account" => {
             let (account, open) = hub.account();
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Whether no letter is on its way.
+    pub fn quiet(&self) -> bool {
+        self.ways.borrow().values().all(|w| w.letters.get() == 0)
+    }
+
     /// Letters that were dropped because too many were on their way.
     pub fn dropped(&self) -> u64 {
         self.dropped.get()
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -1,5 +1,6 @@
 //! The program's arguments, logs and exit codes.
 
+use crate::fleet::Place;
 use crate::{platform, Error, Gateway, Options, EMBEDDED};
 use clap::{Parser, ValueEnum};
 use std::ffi::OsString;
@@ -7,6 +8,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tansy_agree::rule::Value;
+use tansy_settings::agree;
 use tracing_subscriber::EnvFilter;
 
 /// A front end for gRPC inference calls of functions that are loaded on demand.
@@ -26,7 +29,7 @@
     embedded: bool,
     /// Serve on the platform: all else comes from the file that EDGE_CONFIG names; no other port is opened.
     #[arg(long, conflicts_with_all = ["settings", "embedded", "workers", "listen", "http", "shared", "record", "me",
-        "siblings"])]
+        "siblings", "name", "peers", "state", "via"])]
     platform: bool,
     /// The file with the list of workers; it is read again when it changes.
     #[arg(long)]
@@ -49,6 +52,18 @@
     /// Write every step of the ledger to this file, for replay.
     #[arg(long)]
     record: Option<PathBuf>,
+    /// This front end's name in the fleet that its settings name; goes before the settings.
+    #[arg(long)]
+    name: Option<String>,
+    /// Address at which its siblings reach it; goes before the settings. A name keeps its address.
+    #[arg(long)]
+    peers: Option<SocketAddr>,
+    /// The file in which a seat keeps the agreed log; goes before the settings.
+    #[arg(long)]
+    state: Option<PathBuf>,
+    /// Reach the sibling at the first address through the second, as `127.0.0.1:7001=127.0.0.1:9001`.
+    #[arg(long, hide = true, value_parser = pair)]
+    via: Vec<(SocketAddr, SocketAddr)>,
     /// Check the settings, say what they hold, and end.
     #[arg(long)]
     check: bool,
@@ -60,6 +75,11 @@
     log: String,
 }
 
+fn pair(text: &str) -> Result<(SocketAddr, SocketAddr), String> {
+    let read = text.split_once('=').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    read.ok_or_else(|| "want two addresses, as 127.0.0.1:7001=127.0.0.1:9001".to_string())
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Logs {
     Plain,
@@ -111,7 +131,12 @@
         say(&format!("{name}: {classes} classes, {functions} functions"));
         return ExitCode::SUCCESS;
     }
-    let options = Options { embedded: a.embedded, shared: a.shared, workers: a.workers, record: a.record };
+    let fleet = match place(&a, &name, &text, &mut settings) {
+        Ok(fleet) => fleet,
+        Err(why) => return wrong(&why),
+    };
+    let options =
+        Options { embedded: a.embedded, shared: a.shared, workers: a.workers, record: a.record, fleet };
     let gateway = match Gateway::start(settings, &options) {
         Ok(gateway) => gateway,
         Err(e) => {
@@ -119,7 +144,48 @@
             return ExitCode::from(1);
         }
     };
-    ended(gateway.run(|g| say(&format!("ready grpc={} http={}", g.grpc(), g.http()))))
+    ended(gateway.run(|g| {
+        let peers = g.peers().map_or(String::new(), |p| format!(" peers={p}"));
+        say(&format!("ready grpc={} http={}{peers}", g.grpc(), g.http()));
+    }))
+}
+
+/// The place in a fleet, if the settings name one.
+fn place(
+    a: &Arguments,
+    name: &str,
+    text: &str,
+    settings: &mut tansy_settings::Settings,
+) -> Result<Option<Place>, String> {
+    let given = a.name.is_some() || a.peers.is_some() || a.state.is_some() || !a.via.is_empty();
+    let Some(fleet) = &mut settings.fleet else {
+        let why = "--name, --peers, --state and --via are for a front end of a fleet: want fleet: {...} in the settings";
+        return if given { Err(why.into()) } else { Ok(None) };
+    };
+    if a.record.is_some() {
+        return Err(
+            "--record: what a fleet's versions change is not recorded yet; leave out one of the two".into()
+        );
+    }
+    fleet.me = a.name.clone().unwrap_or(fleet.me.clone());
+    fleet.listen = a.peers.unwrap_or(fleet.listen);
+    fleet.state = a.state.clone().or(fleet.state.clone());
+    if fleet.me.is_empty() {
+        return Err("fleet.me: the front end has no name in its fleet: want one, as --name a".into());
+    }
+    if let Some(seat) = fleet.seats.iter().find(|s| s.name == fleet.me && s.address != fleet.listen) {
+        return Err(format!(
+            "fleet.listen {}: the seat {:?} is looked for at {}: want the same address",
+            fleet.listen, seat.name, seat.address
+        ));
+    }
+    let mut own = agree::fields(name, text).map_err(|e| e.to_string())?;
+    let count = |n: usize| Value::Int(i64::try_from(n).unwrap_or(i64::MAX));
+    own.insert("front.me".into(), count(settings.front.settings.me));
+    own.insert("front.listen".into(), Value::Text(settings.gateway.listen.to_string()));
+    own.insert("front.http".into(), Value::Text(settings.gateway.http.to_string()));
+    let first = agree::version(name, text).map_err(|e| e.to_string())?;
+    Ok(Some(Place { own, first, via: a.via.iter().copied().collect() }))
 }
 
 /// Serves on the platform.
--- /dev/null
+++ b/programs/gateway/src/fleet.rs
@@ -0,0 +1,229 @@
+//! A gateway in a fleet: what its lease and its stay let it act on, as terms of its ledger.
+
+use crate::Error;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::SystemTime;
+use tansy_agree::lease::{Terms as LeaseTerms, Time};
+use tansy_agree::log::{Phase, Settings as Version, State};
+use tansy_agree::rule::{apart, lapsed, Fields, Rules, Schema, Touch};
+use tansy_front::{Contested, Terms};
+use tansy_net_front::{Hub, Names};
+use tansy_net_peers::{Peers, Setup};
+use tansy_net_sockets::Spawner;
+use tansy_peer::{number, Peer};
+use tansy_settings::agree;
+
+/// A lease's part of the time within which no two front ends contradict each other, in tenths.
+const LEASE_TENTHS: i64 = 3;
+
+/// What a gateway is told of its place in a fleet, beside its settings.
+#[derive(Debug, Default, Clone)]
+pub struct Place {
+    /// All fields of its own file, what the command line says instead among them.
+    pub own: Fields,
+    /// The version that a fleet which begins has first: what stands in its file.
+    pub first: Fields,
+    /// Front ends that are reached through another address than their own.
+    pub via: HashMap<SocketAddr, SocketAddr>,
+}
+
+/// What the ledger was given.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Given {
+    step: u64,
+    lease: bool,
+    stay: bool,
+}
+
+/// Terms for each right that a front end may have.
+#[derive(Clone)]
+struct Ready {
+    whole: Terms,
+    apart: Terms,
+    lapsed: Terms,
+    names: Names,
+}
+
+struct Adopter {
+    hub: Rc<Hub>,
+    own: Fields,
+    schema: Schema,
+    for_about: i64,
+    given: RefCell<Option<Given>>,
+    ready: RefCell<Option<(u64, Result<Ready, String>)>>,
+}
+
+/// Takes the gateway's place in its fleet. It acts on nothing before it holds a lease and a stay.
+pub fn start(
+    spawner: Spawner,
+    hub: Rc<Hub>,
+    listener: TcpListener,
+    fleet: &tansy_settings::Fleet,
+    place: &Place,
+) -> Result<Rc<Peers>, Error> {
+    let schema = agree::agreement();
+    let lease = LeaseTerms { span: fleet.within * LEASE_TENTHS / 10, ppm: fleet.clock_ppm };
+    let stay = LeaseTerms { span: fleet.stay, ppm: fleet.clock_ppm };
+    let seat = fleet.seats.first().ok_or("fleet.seats: no seat")?;
+    let at_seat = seat.name == fleet.me;
+    // A process that comes back under its name is a later one; clocks of calendars do not go back by a restart's time.
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
+    let id = number(&fleet.me);
+    let peer = tansy_peer::Setup {
+        fleet: number(&fleet.name),
+        name: fleet.me.clone(),
+        me: tansy_members::Name::new(id, incarnation, listener.local_addr()?),
+        seat: (number(&seat.name), seat.address),
+        lease,
+        stay,
+        pace: tansy_members::Pace::default(),
+        schema: schema.clone(),
+        seed: id ^ incarnation,
+    };
+    let file = match (&fleet.state, at_seat) {
+        (Some(path), true) => Some((path.clone(), place.first.clone())),
+        (None, true) => {
+            return Err(format!(
+                "fleet.state: {:?} keeps the agreed log: want its file, as --state seat.redb",
+                fleet.me
+            )
+            .into())
+        }
+        (_, false) => None,
+    };
+    let adopter = Rc::new(Adopter {
+        hub,
+        own: place.own.clone(),
+        schema,
+        for_about: lease.span,
+        given: RefCell::new(None),
+        ready: RefCell::new(None),
+    });
+    adopter.nothing_yet(&place.first)?;
+    let check = Rc::new(|fields: &Fields| agree::check(fields).map_err(|e| e.to_string()));
+    let setup = Setup { peer, fleet: fleet.name.clone(), seat: file, via: place.via.clone(), check };
+    Peers::start(spawner, listener, setup, Rc::new(move |peer, now| adopter.acts(peer, now)))
+}
+
+impl Adopter {
+    /// Before anything is known: by what binds most of all.
+    fn nothing_yet(&self, first: &Fields) -> Result<(), Error> {
+        let (filled, _) = agree::filled(first)?;
+        let (terms, names) = self.terms(&lapsed(&self.schema, &filled))?;
+        Ok(self.hub.adopt(terms, names, Vec::new())?)
+    }
+
+    /// Gives the ledger what the front end may act on by now; what is wrong, if it can't act on what it knows.
+    fn acts(&self, peer: &Peer, now: Time) -> Option<String> {
+        let acting = peer.acting(now);
+        let state = acting.state?;
+        let step = state.step.0;
+        let (lease, stay) = (acting.lease > 0, acting.stay > 0);
+        let given = Given { step, lease, stay };
+        // A right without an end is the seat's own.
+        let ends: Vec<i64> = [(lease && stay, acting.lease), (stay, acting.stay)]
+            .into_iter()
+            .filter(|(there, left)| *there && *left < Time::MAX / 2)
+            .map(|(_, left)| left)
+            .collect();
+        if *self.given.borrow() == Some(given) && self.hub.renew(&ends) {
+            return self.wrong();
+        }
+        let known = self.ready.borrow().as_ref().map(|r| r.0);
+        if known != Some(step) {
+            let ready = self.ready_for(state);
+            if let Err(why) = &ready {
+                tracing::error!(step, %why, "the version in use can't be acted on here: all calls are refused");
+            }
+            *self.ready.borrow_mut() = Some((step, ready));
+        }
+        let ready = self.ready.borrow().as_ref().map(|r| r.1.clone());
+        let Some(Ok(ready)) = ready else {
+            self.refuse_all();
+            return self.wrong();
+        };
+        let first = match (lease, stay) {
+            (true, true) => &ready.whole,
+            (false, true) => &ready.apart,
+            (_, false) => &ready.lapsed,
+        };
+        // Each end with what comes after it, in their order.
+        let after = [(lease && stay, acting.lease, &ready.apart), (stay, acting.stay, &ready.lapsed)];
+        let mut after: Vec<(i64, Terms)> = after
+            .into_iter()
+            .filter(|(there, left, _)| *there && *left < Time::MAX / 2)
+            .map(|(_, left, terms)| (left, terms.clone()))
+            .collect();
+        if after.len() == 2 && after[1].0 <= after[0].0 {
+            after.remove(0);
+        }
+        let count = after.len();
+        let adopted = self.hub.adopt(first.clone(), ready.names.clone(), after);
+        *self.given.borrow_mut() = Some(given).filter(|_| count == ends.len());
+        if let Err(e) = adopted {
+            *self.ready.borrow_mut() = Some((step, Err(e.to_string())));
+            self.refuse_all();
+        }
+        self.wrong()
+    }
+
+    fn wrong(&self) -> Option<String> {
+        self.ready.borrow().as_ref().and_then(|r| r.1.as_ref().err().cloned())
+    }
+
+    /// What it knows can't be acted on: it takes no call.
+    fn refuse_all(&self) {
+        let config = self.hub.with_front(|f| f.settings());
+        let contested = Contested { all: true, for_about: self.for_about, ..Contested::default() };
+        let names = self.hub.names();
+        // The ledger acts on this configuration already.
+        let _ = self.hub.adopt(Terms { config, contested }, (*names).clone(), Vec::new());
+        *self.given.borrow_mut() = None;
+    }
+
+    fn ready_for(&self, state: &State) -> Result<Ready, String> {
+        let fill = |v: &Version| agree::filled(&v.fields).map_err(|e| e.to_string());
+        let (force, mut strange) = fill(&state.force)?;
+        let mut filled = state.clone();
+        filled.force.fields = force;
+        if let Some((next, phase)) = &mut filled.next {
+            let (fields, unknown) = fill(next)?;
+            next.fields = fields;
+            if *phase == Phase::Joint {
+                strange.extend(unknown);
+            }
+        }
+        let mut rules = filled.rules(&self.schema);
+        rules.refused.extend(strange);
+        let made = |rules: &Rules| self.terms(rules).map_err(|e| e.to_string());
+        let (whole, names) = made(&rules)?;
+        let (apart, _) = made(&apart(&self.schema, rules))?;
+        let (lapsed, _) = made(&lapsed(&self.schema, &filled.force.fields))?;
+        Ok(Ready { whole, apart, lapsed, names })
+    }
+
+    fn terms(&self, rules: &Rules) -> Result<(Terms, Names), Error> {
+        let settings = agree::settings(&self.own, &rules.fields)?;
+        let mut contested = Contested { unlisted: rules.unlisted, ..Contested::default() };
+        contested.for_about = self.for_about;
+        for touch in &rules.refused {
+            match touch {
+                Touch::All => contested.all = true,
+                Touch::Class(n) => note(&mut contested.classes, n),
+                Touch::Tenant(n) => note(&mut contested.tenants, n),
+                Touch::Function(n) => note(&mut contested.functions, n),
+            }
+        }
+        let g = settings.gateway;
+        let names = Names { class: g.class_key, tenant: g.tenant_key, work_ms: g.work_key };
+        Ok((Terms { config: settings.front, contested }, names))
+    }
+}
+
+fn note(names: &mut BTreeSet<String>, name: &str) {
+    names.insert(name.to_string());
+}
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! waits for signals.
 
 pub mod cli;
+pub mod fleet;
 pub mod platform;
 
 use calloop::signals::{Signal, Signals};
@@ -16,6 +17,7 @@
 use tansy_net_front::{clients, side, Hub, Names, Setup, Worker};
 use tansy_net_grpc::link::Limits as LinkLimits;
 use tansy_net_grpc::server::{Limits, Server};
+use tansy_net_peers::Peers;
 use tansy_net_sockets::socket::listen;
 use tansy_net_sockets::Spawner;
 use tansy_settings::{Settings, WorkerLine};
@@ -31,6 +33,9 @@
 /// How often the totals are logged.
 const TOTALS_EVERY: Duration = Duration::from_secs(10);
 
+/// Time for what a front end tells its fleet when it leaves.
+const LAST_LETTERS: Duration = Duration::from_millis(300);
+
 /// What a run is told beside its settings.
 #[derive(Debug, Default)]
 pub struct Options {
@@ -42,6 +47,8 @@
     pub workers: Option<PathBuf>,
     /// Where the ledger's steps are written.
     pub record: Option<PathBuf>,
+    /// Its place in the fleet that its settings name.
+    pub fleet: Option<fleet::Place>,
 }
 
 /// A front end that serves.
@@ -51,6 +58,7 @@
     server: Rc<Server>,
     grpc: SocketAddr,
     http: SocketAddr,
+    peers: Option<(Rc<Peers>, SocketAddr)>,
     drain: i64,
 }
 
@@ -66,7 +74,7 @@
     pub fn start(settings: Settings, options: &Options) -> Result<Gateway, Error> {
         let event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
         let spawner = Spawner::new(event_loop.handle())?;
-        let Settings { front: config, gateway: g, workers } = settings;
+        let Settings { front: config, gateway: g, workers, fleet } = settings;
         let grpc = listen(g.listen, options.shared).map_err(|e| format!("front.listen {}: {e}", g.listen))?;
         let http = listen(g.http, options.shared).map_err(|e| format!("front.http {}: {e}", g.http))?;
         let (grpc_at, http_at) = (grpc.local_addr()?, http.local_addr()?);
@@ -89,7 +97,17 @@
             None => None,
         };
         let front = Front::new(config, Time(0))?;
-        let hub = Hub::new(spawner.clone(), front, setup, Instant::now(), record);
+        let hub = Hub::new(spawner.clone(), front, setup, record);
+        // Before anything is taken: until it holds a lease and a stay it acts on no version.
+        let peers = match (&fleet, &options.fleet) {
+            (Some(fleet), Some(place)) => {
+                let at = fleet.listen;
+                let listener = listen(at, false).map_err(|e| format!("fleet.listen {at}: {e}"))?;
+                let address = listener.local_addr()?;
+                Some((fleet::start(spawner.clone(), hub.clone(), listener, fleet, place)?, address))
+            }
+            _ => None,
+        };
         let mut list: Vec<Worker> = workers.into_iter().map(worker).collect();
         if options.embedded {
             for n in 0..EMBEDDED_WORKERS {
@@ -130,7 +148,7 @@
                 tracing::info!(%account, open, "totals");
             }
         });
-        Ok(Gateway { event_loop, hub, server, grpc: grpc_at, http: http_at, drain: g.drain })
+        Ok(Gateway { event_loop, hub, server, grpc: grpc_at, http: http_at, peers, drain: g.drain })
     }
 
     /// Where the gRPC port is.
@@ -142,6 +160,11 @@
         self.http
     }
 
+    /// Where its siblings reach it, if it is in a fleet.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(|p| p.1)
+    }
+
     /// Serves until SIGTERM or SIGINT, then finishes what is held within the drain time; gives the account's line. `ready`
     /// is called once these signals are taken: whoever is told earlier could end the process by one.
     pub fn run(mut self, ready: impl FnOnce(&Gateway)) -> Result<String, Error> {
@@ -162,6 +185,14 @@
         while Instant::now() < end && !(self.hub.with_front(Front::idle) && self.server.connections() == 0) {
             self.turn(Duration::from_millis(20))?;
         }
+        if let Some((peers, _)) = &self.peers {
+            // It has ended every call: from here on nobody need wait for it.
+            peers.leave();
+            let end = Instant::now() + LAST_LETTERS;
+            while Instant::now() < end && !peers.quiet() {
+                self.event_loop.dispatch(Some(Duration::from_millis(5)), &mut ())?;
+            }
+        }
         Ok(self.account())
     }
 
--- a/protocol/fleet/src/lib.rs
+++ b/protocol/fleet/src/lib.rs
@@ -79,6 +79,7 @@
         Body::AskStay(a, name) => {
             B::StayAsk(pb::StayAsk { from: Some(member(a.from)), seq: a.seq, at: a.at.0, name })
         }
+        Body::Gone(m) => B::Gone(member(m)),
         Body::Stay(g) => B::StayGrant(pb::StayGrant { to: Some(member(g.to)), seq: g.seq, span: g.span }),
     };
     pb::Letter { form: FORM, fleet, from: Some(process(from)), body: Some(body) }.encode_to_vec()
@@ -115,6 +116,7 @@
             let ask = stay::Ask { from: of_member(a.from)?, seq: a.seq, at: Step(a.at) };
             Body::AskStay(ask, words(a.name, "name")?)
         }
+        B::Gone(m) => Body::Gone(of_member(Some(m))?),
         B::StayGrant(g) => Body::Stay(stay::Grant { to: of_member(g.to)?, seq: g.seq, span: g.span }),
     };
     Ok((from, body))
--- a/protocol/fleet/tests/letters.rs
+++ b/protocol/fleet/tests/letters.rs
@@ -39,6 +39,7 @@
         Body::Lease(Message::Reached { from: m, at: Step(5) }),
         Body::AskStay(stay::Ask { from: m, seq: 6, at: Step(7) }, "front-1".into()),
         Body::Stay(stay::Grant { to: m, seq: 8, span: 1 }),
+        Body::Gone(m),
     ]
 }
 
--- a/settings/src/agree.rs
+++ b/settings/src/agree.rs
@@ -181,6 +181,12 @@
     Ok((all, strange.iter().map(|p| Touch::of(p)).collect()))
 }
 
+/// Whether a version makes settings for whoever reads it, of a program that knows all of its fields.
+pub fn check(version: &Fields) -> Result<(), Errors> {
+    let (filled, _) = filled(version)?;
+    settings(&Fields::new(), &filled).map(drop)
+}
+
 /// The settings by which a front end acts: these rules, with what is its own from its file's fields.
 pub fn settings(own_fields: &Fields, rules: &Fields) -> Result<crate::Settings, Errors> {
     let mut all: Fields =
