--- a/decide/agree/src/rule.rs
+++ b/decide/agree/src/rule.rs
@@ -63,8 +63,13 @@
         match self {
             Value::Flag(b) => write!(f, "{b}"),
             Value::Int(n) => write!(f, "{n}"),
-            Value::Span(n) => write!(f, "{n}us"),
-            Value::Bytes(n) => write!(f, "{n}B"),
+            Value::Span(n) => in_units(
+                f,
+                *n,
+                &[("h", 3_600_000_000), ("m", 60_000_000), ("s", 1_000_000), ("ms", 1000)],
+                "us",
+            ),
+            Value::Bytes(n) => in_units(f, *n, &[("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10)], "B"),
             Value::Number(x) => write!(f, "{x}"),
             Value::Text(t) => f.write_str(&quoted(t)),
             Value::List(all) => {
@@ -75,6 +80,14 @@
     }
 }
 
+/// In the largest unit of which it is a whole number.
+fn in_units(f: &mut std::fmt::Formatter<'_>, n: i64, units: &[(&str, i64)], least: &str) -> std::fmt::Result {
+    match units.iter().find(|(_, size)| n != 0 && n % size == 0) {
+        Some((unit, size)) => write!(f, "{}{unit}", n / size),
+        None => write!(f, "{n}{least}"),
+    }
+}
+
 /// A text in quotes, as a settings file writes it.
 pub fn quoted(text: &str) -> String {
     let mut out = String::from("\"");
--- /dev/null
+++ b/programs/fleet/src/client.rs
@@ -0,0 +1,116 @@
+//! Requests to front ends, several at a time.
+
+use calloop::EventLoop;
+use prost::Message;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tansy_fleet_wire::pb;
+use tansy_net_grpc::link::{Limits, Link};
+use tansy_net_peers::ask::{ask, Failed};
+use tansy_net_sockets::Spawner;
+
+/// Time for an answer.
+const WITHIN: Duration = Duration::from_secs(2);
+/// Time for an entry to be held.
+const ENTRY_WITHIN: Duration = Duration::from_secs(12);
+
+/// Asks front ends.
+pub struct Client {
+    event_loop: EventLoop<'static, ()>,
+    spawner: Spawner,
+}
+
+impl Client {
+    /// One with a loop of its own.
+    pub fn new() -> io::Result<Client> {
+        let event_loop = EventLoop::try_new().map_err(io::Error::other)?;
+        let spawner = Spawner::new(event_loop.handle())?;
+        Ok(Client { event_loop, spawner })
+    }
+
+    /// The same to several; the answers in their order.
+    fn all<T: Message + Default + 'static>(
+        &mut self,
+        to: &[SocketAddr],
+        method: &'static str,
+        request: &[u8],
+        within: Duration,
+    ) -> Vec<Result<T, Failed>> {
+        let answers: Rc<RefCell<Vec<Option<Result<T, Failed>>>>> =
+            Rc::new(RefCell::new(to.iter().map(|_| None).collect()));
+        for (n, address) in to.iter().enumerate() {
+            let link = Link::new(self.spawner.clone(), *address, Limits::default());
+            let (spawner, answers, request) = (self.spawner.clone(), answers.clone(), request.to_vec());
+            let address = *address;
+            self.spawner.spawn(async move {
+                let answer = ask(&spawner, &link, method, &request, within).await;
+                let read = answer.and_then(|bytes| {
+                    let wrong = |e| Failed::Away(format!("{address}: an answer that can't be read: {e}"));
+                    T::decode(bytes).map_err(wrong)
+                });
+                if let Some(place) = answers.borrow_mut().get_mut(n) {
+                    *place = Some(read);
+                }
+            });
+        }
+        let end = Instant::now() + within + Duration::from_secs(1);
+        while answers.borrow().iter().any(Option::is_none) && Instant::now() < end {
+            if self.event_loop.dispatch(Some(Duration::from_millis(20)), &mut ()).is_err() {
+                break;
+            }
+        }
+        let late = |n: usize| Err(Failed::Away(format!("{}: no answer", to[n])));
+        let taken = std::mem::take(&mut *answers.borrow_mut());
+        taken.into_iter().enumerate().map(|(n, a)| a.unwrap_or_else(|| late(n))).collect()
+    }
+
+    fn one<T: Message + Default + 'static>(
+        &mut self,
+        to: SocketAddr,
+        method: &'static str,
+        request: &[u8],
+        within: Duration,
+    ) -> Result<T, Failed> {
+        let answer = self.all(&[to], method, request, within).pop();
+        answer.unwrap_or_else(|| Err(Failed::Away(format!("{to}: no answer"))))
+    }
+
+    /// The status of several.
+    pub fn statuses(&mut self, to: &[SocketAddr]) -> Vec<Result<pb::StatusReply, Failed>> {
+        self.all(to, "Status", &pb::StatusRequest { fleet: 0 }.encode_to_vec(), WITHIN)
+    }
+
+    /// The status of one.
+    pub fn status(&mut self, to: SocketAddr) -> Result<pb::StatusReply, Failed> {
+        self.one(to, "Status", &pb::StatusRequest { fleet: 0 }.encode_to_vec(), WITHIN)
+    }
+
+    /// The versions that a seat remembers.
+    pub fn history(&mut self, seat: SocketAddr) -> Result<pb::HistoryReply, Failed> {
+        self.one(seat, "History", &pb::HistoryRequest { fleet: 0 }.encode_to_vec(), WITHIN)
+    }
+
+    /// An entry for the log.
+    pub fn enter(
+        &mut self,
+        seat: SocketAddr,
+        entry: pb::enter_request::Entry,
+    ) -> Result<pb::EnterReply, Failed> {
+        let request = pb::EnterRequest { fleet: 0, entry: Some(entry) };
+        self.one(seat, "Enter", &request.encode_to_vec(), ENTRY_WITHIN)
+    }
+
+    /// Lets time pass.
+    pub fn wait(&mut self, span: Duration) {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            let left = end.saturating_duration_since(Instant::now());
+            if self.event_loop.dispatch(Some(left), &mut ()).is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/programs/fleet/src/main.rs
@@ -0,0 +1,5 @@
+//! The program `tansy-fleet`.
+
+fn main() -> std::process::ExitCode {
+    tansy_fleet::main(std::env::args_os())
+}
--- /dev/null
+++ b/programs/fleet/src/show.rs
@@ -0,0 +1,236 @@
+//! What is printed: plain lines for people, one JSON value for programs.
+
+use serde::Serialize;
+use tansy_agree::log::Settings;
+use tansy_agree::rule::{Change, Kind, Touch, Value};
+use tansy_fleet_wire::pb;
+
+/// A front end's line.
+#[derive(Debug, Clone, Serialize)]
+pub struct FrontLine {
+    /// Its name, or where it was looked for.
+    pub name: String,
+    /// Where its siblings reach it.
+    pub address: String,
+    /// Whether it answered; what it said, if not.
+    pub error: Option<String>,
+    /// It keeps the log.
+    pub seat: bool,
+    /// The step that it knows.
+    pub step: u64,
+    /// The version in force there.
+    pub version: u64,
+    /// The version under way, and how far.
+    pub next: Option<(u64, String)>,
+    /// Milliseconds left of its lease; none: the seat's own right.
+    pub lease_ms: Option<i64>,
+    /// Seconds left of its stay; none: the seat's own right.
+    pub stay_s: Option<i64>,
+    /// Siblings that it sees.
+    pub sees: usize,
+}
+
+/// A fleet's status.
+#[derive(Debug, Clone, Serialize)]
+pub struct FleetLine {
+    /// Its name.
+    pub fleet: String,
+    /// The seat's address.
+    pub seat: String,
+    /// Its front ends, as the one asked sees them.
+    pub fronts: Vec<FrontLine>,
+    /// On the roster, and not seen.
+    pub away: Vec<String>,
+    /// Calls that the change under way touches.
+    pub contested: Vec<String>,
+    /// Whom the change under way waits for.
+    pub waits_for: Vec<String>,
+    /// It waits for leases to run out or to come as far.
+    pub waits_for_leases: bool,
+}
+
+fn endless(left: i64, unit: i64) -> Option<i64> {
+    (left < i64::MAX / 2).then_some(left / unit)
+}
+
+impl FrontLine {
+    /// Of what it answered.
+    pub fn of(s: &pb::StatusReply) -> FrontLine {
+        let state = s.state.as_ref();
+        let phase = |s: &pb::State| match pb::Phase::try_from(s.phase) {
+            Ok(pb::Phase::Told) => "told",
+            Ok(pb::Phase::Joint) => "joint",
+            Ok(pb::Phase::Back) => "going back",
+            _ => "",
+        };
+        let next = state.and_then(|s| Some((s.next.as_ref()?.version, phase(s).to_string())));
+        FrontLine {
+            name: s.name.clone(),
+            address: s.process.as_ref().map(|p| p.address.clone()).unwrap_or_default(),
+            error: Some(s.error.clone()).filter(|e| !e.is_empty()),
+            seat: s.keeps_log,
+            step: state.map_or(0, |s| s.step),
+            version: state.and_then(|s| s.force.as_ref()).map_or(0, |f| f.version),
+            next,
+            lease_ms: endless(s.lease_left, 1000),
+            stay_s: endless(s.stay_left, 1_000_000),
+            sees: s.others.len(),
+        }
+    }
+
+    /// Of one that did not answer.
+    pub fn silent(address: String, why: String) -> FrontLine {
+        FrontLine {
+            name: "?".into(),
+            address,
+            error: Some(why),
+            seat: false,
+            step: 0,
+            version: 0,
+            next: None,
+            lease_ms: Some(0),
+            stay_s: Some(0),
+            sees: 0,
+        }
+    }
+
+    fn plain(&self) -> String {
+        let right = |left: Option<i64>, unit: &str| match left {
+            None => "its own".to_string(),
+            Some(0) => "none".into(),
+            Some(n) => format!("{n} {unit}"),
+        };
+        let version = match &self.next {
+            Some((next, phase)) => format!("{} -> {next} {phase}", self.version),
+            None => self.version.to_string(),
+        };
+        let mut line = format!(
+            "{:<14} {:<22} {:<5} {:<14} {:<10} {:<10} sees {}",
+            self.name,
+            self.address,
+            if self.seat { "seat" } else { "" },
+            version,
+            right(self.lease_ms, "ms"),
+            right(self.stay_s, "s"),
+            self.sees
+        );
+        if let Some(e) = &self.error {
+            line += &format!("\n    {e}");
+        }
+        line
+    }
+}
+
+impl FleetLine {
+    /// Lines for people.
+    pub fn plain(&self) -> String {
+        let mut out = format!("fleet {}, seat {}\n", self.fleet, self.seat);
+        out += "name           address                      version        lease      stay\n";
+        for f in &self.fronts {
+            out += &f.plain();
+            out.push('\n');
+        }
+        if !self.away.is_empty() {
+            out += &format!("on the roster, not seen: {}\n", self.away.join(", "));
+        }
+        if !self.contested.is_empty() {
+            out += &format!("the change under way touches: {}\n", self.contested.join(", "));
+        }
+        if self.waits_for_leases {
+            out += "it waits for leases: each comes as far or runs out\n";
+        }
+        if !self.waits_for.is_empty() {
+            let who = self.waits_for.join(", ");
+            out +=
+                &format!("it waits for {who}: start them again, or dismiss those that are gone for good\n");
+        }
+        out
+    }
+}
+
+/// A field that differs.
+#[derive(Debug, Clone, Serialize)]
+pub struct ChangeLine {
+    /// Where it stands.
+    pub field: String,
+    /// As a settings file writes it; none: left out.
+    pub old: Option<String>,
+    /// The same.
+    pub new: Option<String>,
+    /// `free`, `joint` or `strict`.
+    pub kind: &'static str,
+    /// The calls that it touches.
+    pub calls: String,
+    /// A front end takes it up only when it starts.
+    pub at_start: bool,
+}
+
+impl ChangeLine {
+    /// Of a change.
+    pub fn of(c: &Change) -> ChangeLine {
+        let text = |v: &Option<Value>| v.as_ref().map(Value::to_string);
+        ChangeLine {
+            field: c.path.clone(),
+            old: text(&c.old),
+            new: text(&c.new),
+            kind: match c.kind {
+                Kind::Free => "free",
+                Kind::Joint(..) => "joint",
+                Kind::Strict => "strict",
+            },
+            calls: match &c.touch {
+                Touch::All => "all calls".into(),
+                Touch::Class(n) => format!("calls of class {n}"),
+                Touch::Tenant(n) => format!("calls of tenant {n}"),
+                Touch::Function(n) => format!("calls of {n}"),
+            },
+            at_start: tansy_settings::agree::at_start(&c.path),
+        }
+    }
+
+    /// A line for people.
+    pub fn plain(&self) -> String {
+        let none = || "nothing".to_string();
+        let (old, new) = (self.old.clone().unwrap_or_else(none), self.new.clone().unwrap_or_else(none));
+        let what = match self.kind {
+            "strict" => format!("{} are refused for a moment", self.calls),
+            "joint" => format!("the stricter holds meanwhile, for {}", self.calls),
+            _ if self.at_start => "taken up when a front end starts".into(),
+            _ => "harmless side by side".into(),
+        };
+        format!("{}: {old} -> {new}   [{}: {what}]", self.field, self.kind)
+    }
+}
+
+/// A version's line.
+#[derive(Debug, Clone, Serialize)]
+pub struct VersionLine {
+    /// Its number.
+    pub version: u64,
+    /// `in force`, `under way`, or nothing.
+    pub is: &'static str,
+    /// Why it was proposed.
+    pub why: String,
+    /// The proposal's id.
+    pub id: u64,
+    /// How many fields it sets.
+    pub fields: usize,
+}
+
+impl VersionLine {
+    /// Of a version, beside the one in force and the one under way.
+    pub fn of(s: &Settings, force: u64, next: u64) -> VersionLine {
+        let n = s.version.0;
+        let is = match () {
+            () if n == force => "in force",
+            () if n == next => "under way",
+            () => "",
+        };
+        VersionLine { version: n, is, why: s.why.clone(), id: s.id, fields: s.fields.len() }
+    }
+
+    /// A line for people.
+    pub fn plain(&self) -> String {
+        format!("{:>6}  {:<10} {:>4} fields  {}", self.version, self.is, self.fields, self.why)
+    }
+}
