--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -27,6 +27,8 @@
 const STAY_PART: Time = 4;
 /// ... and at least so often: the seat wants to know who lives, at little cost.
 const STAY_MOST: Time = 30_000_000;
+/// And while a change of strict fields goes on, which waits for what the ask tells, in case that was lost.
+const STAY_AWAITED: Time = 1_000_000;
 /// Addresses that are remembered of those who wrote and are not known as members yet.
 const HEARD: usize = 1024;
 
@@ -336,7 +338,9 @@
 
     fn ask_stay(&mut self, now: Time, out: &mut Vec<Command>) {
         let at = self.front.known().map_or(Step(0), |s| s.step);
-        let often = (self.setup.stay.span / STAY_PART).min(STAY_MOST);
+        let awaited = self.front.known().is_some_and(|s| self.strict(s));
+        let most = if awaited { STAY_AWAITED } else { STAY_MOST };
+        let often = (self.setup.stay.span / STAY_PART).min(most);
         self.next_stay = now + if self.stay.left(now) == 0 { AGAIN } else { often };
         // One that knows nothing acts on nothing: it has no need of a stay.
         if at > Step(0) {
@@ -345,13 +349,18 @@
         }
     }
 
+    /// Whether a change of strict fields is under way.
+    fn strict(&self, state: &State) -> bool {
+        state.contested(&self.setup.schema).iter().any(|c| c.kind == Kind::Strict)
+    }
+
     /// What follows of what happened: steps of the log, and what is told.
     fn go_on(&mut self, now: Time, out: &mut Vec<Command>) {
         if let Some(keeper) = &mut self.keeper {
             keeper.go_on(now, &self.front, &self.setup.schema, out);
         }
         let (step, strict) = match self.front.known() {
-            Some(s) => (s.step, s.contested(&self.setup.schema).iter().any(|c| c.kind == Kind::Strict)),
+            Some(s) => (s.step, self.strict(s)),
             None => (Step(0), false),
         };
         if step != self.noted.0 {
--- a/decide/peer/tests/fleet.rs
+++ b/decide/peer/tests/fleet.rs
@@ -267,6 +267,25 @@
     assert_eq!(f.force(), vec![Some(3); 5]);
 }
 
+#[test]
+fn a_seat_that_starts_again_in_a_strict_change_goes_on_with_it() {
+    for step in [2, 3] {
+        let mut f = Fleet::new(6);
+        f.run(5.0);
+        f.propose(1, 1, fields("cell", 4));
+        while f.disk.state().step.0 < step {
+            f.run(0.001);
+        }
+        // All have told it how far they are, and it forgets that.
+        f.run(0.02);
+        f.all[0] = None;
+        f.run(0.5);
+        f.start(0);
+        f.run(5.0);
+        assert_eq!(f.force(), vec![Some(2); 6], "killed at step {step}");
+    }
+}
+
 #[test]
 fn a_seat_that_starts_again_waits_for_whom_its_disk_knows() {
     let mut f = Fleet::new(5);
--- a/programs/day/src/lib.rs
+++ b/programs/day/src/lib.rs
@@ -1,10 +1,12 @@
 //! The scripted bad day: processes, load, faults, and the auditor's verdict.
 //!
+//! - [`agree`]: versions of settings under load, through faults between front ends.
 //! - [`load`]: the clients.
 //! - [`cast`]: the processes and the relay between them.
 //! - [`script`]: what goes wrong, and when.
 //! - [`scenario`]: the days that can be played.
 
+pub mod agree;
 pub mod cast;
 pub mod load;
 pub mod scenario;
--- a/standins/audit/src/lib.rs
+++ b/standins/audit/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`record`]: what a relay writes down.
 //! - [`wire`]: bytes to streams with headers, messages and ends.
 //! - [`judge`]: streams to calls, attempts, and breaches.
+//! - [`versions`]: whether two front ends acted on rules that contradict each other, by rules that show in the bytes.
 
 pub mod judge;
 pub mod record;
+pub mod versions;
 pub mod wire;
 
-pub use judge::{audit, Audit, Breach, Rules};
+pub use judge::{audit, judge, Audit, Breach, History, Rules};
 pub use record::{Entry, Link, Mark, What};
--- a/standins/audit/src/record.rs
+++ b/standins/audit/src/record.rs
@@ -15,6 +15,13 @@
         /// The worker's number.
         worker: usize,
     },
+    /// One front end and another, as it reaches it: what they write to each other is not judged.
+    Peer {
+        /// Who connects.
+        from: usize,
+        /// To whom.
+        to: usize,
+    },
 }
 
 /// What no socket shows.
@@ -49,6 +56,26 @@
         /// The front end.
         front: usize,
     },
+    /// A front end's process was stopped: it does nothing until it is woken.
+    Stopped {
+        /// The front end.
+        front: usize,
+    },
+    /// It goes on.
+    Woken {
+        /// The front end.
+        front: usize,
+    },
+    /// A version of the settings was proposed.
+    Proposed {
+        /// Its number.
+        version: u64,
+    },
+    /// Operators were told that it is in force.
+    InForce {
+        /// Its number.
+        version: u64,
+    },
 }
 
 /// What happened.
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -412,6 +412,9 @@
         map.insert(names::INSTANCE, HeaderValue::from_static("warm"));
         return refuse(&mut respond, map);
     }
+    if faults.lose.borrow().as_ref() == Some(&visit.function) {
+        return respond.send_reset(Reason::INTERNAL_ERROR);
+    }
     let response = answer(&message);
     let steps = if one { 1 } else { pieces };
     let span = standin.machine.borrow().stretched(work, standin.now()) as f64 * faults.slowness();
