--- a/decide/front/tests/terms.rs
+++ b/decide/front/tests/terms.rs
@@ -199,7 +199,8 @@
         Terms { config: config(&[("a", Effect::Safe), ("b", Effect::Safe)]), contested }
     };
     let refused = Some(Answer::Refused { stay_away: SECOND / 2 });
-    let cases: [(fn(&mut Contested), [bool; 2]); 4] = [
+    type Case = (fn(&mut Contested), [bool; 2]);
+    let cases: [Case; 4] = [
         (|c| c.all = true, [true, true]),
         (|c| assert!(c.classes.insert("a".into())), [true, false]),
         (|c| assert!(c.functions.insert("b".into())), [false, true]),
--- a/programs/day/src/agree.rs
+++ b/programs/day/src/agree.rs
@@ -192,11 +192,12 @@
     fn start(play: &Play) -> Result<Fleet, Error> {
         let folder = std::env::temp_dir().join(format!("tansy-agree-{}-{}", std::process::id(), play.seed));
         std::fs::create_dir_all(&folder)?;
-        let any = || TcpListener::bind("127.0.0.1:0");
-        // Bound together, so that no two are the same, and let go before the gateways take them.
-        let bound = (0..play.fronts).map(|_| any()).collect::<Result<Vec<_>, _>>()?;
-        let peers = bound.iter().map(|l| l.local_addr()).collect::<Result<Vec<_>, _>>()?;
-        drop(bound);
+        // Each name keeps its address over its processes. Loopback addresses that nothing else here connects from: what the
+        // kernel gives to connections is never one of these while a process is away.
+        let (pid, seed) = (std::process::id(), play.seed as u32);
+        let host = |n: usize| [127, 1 + (pid % 200) as u8, 1 + (seed % 250) as u8, 1 + n as u8];
+        let free = |n: usize| TcpListener::bind(SocketAddr::from((host(n), 0))).and_then(|l| l.local_addr());
+        let peers = (0..play.fronts).map(free).collect::<Result<Vec<_>, _>>()?;
         let first = text(play, peers[0], says(play)[0]);
         std::fs::write(folder.join("day.cue"), &first)?;
         let alone: String = first.lines().filter(|l| !l.starts_with("fleet:")).collect::<Vec<_>>().join("\n");
--- a/programs/fleet/src/client.rs
+++ b/programs/fleet/src/client.rs
@@ -17,6 +17,9 @@
 /// Time for an entry to be held.
 const ENTRY_WITHIN: Duration = Duration::from_secs(12);
 
+/// By the place of whom was asked; none: no answer yet.
+type Answers<T> = Rc<RefCell<Vec<Option<Result<T, Failed>>>>>;
+
 /// Asks front ends.
 pub struct Client {
     event_loop: EventLoop<'static, ()>,
@@ -39,8 +42,7 @@
         request: &[u8],
         within: Duration,
     ) -> Vec<Result<T, Failed>> {
-        let answers: Rc<RefCell<Vec<Option<Result<T, Failed>>>>> =
-            Rc::new(RefCell::new(to.iter().map(|_| None).collect()));
+        let answers: Answers<T> = Rc::new(RefCell::new(to.iter().map(|_| None).collect()));
         for (n, address) in to.iter().enumerate() {
             let link = Link::new(self.spawner.clone(), *address, Limits::default());
             let (spawner, answers, request) = (self.spawner.clone(), answers.clone(), request.to_vec());
--- /dev/null
+++ b/programs/fleet/tests/fleet.rs
@@ -0,0 +1,227 @@
+//! `tansy-fleet` against real gateways: it proposes, waits, reverts, refuses, and says whom a change waits for.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// The gateway, built beside this program.
+fn gateway() -> PathBuf {
+    let dir = Path::new(env!("CARGO_BIN_EXE_tansy-fleet")).parent().expect("a directory");
+    let path = dir.join("tansy-gateway");
+    assert!(path.exists(), "cargo build -p tansy-gateway first: {} is not there", path.display());
+    path
+}
+
+const TEXT: &str = r#"
+classes: {
+    chat: {aim: 1s, deadline: 2s}
+    pay:  {aim: 1s, deadline: 2s, effect: "keyed", group: "zone", window: 30s}
+}
+functions: pay: {class: "pay", memory: 100MB}
+fleet: {name: "NAME", seats: [{name: "f0", address: "SEAT"}]}
+"#;
+
+/// Gateways of one fleet; all end with it.
+struct Fleet {
+    folder: PathBuf,
+    addresses: Vec<SocketAddr>,
+    processes: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    fn start(name: &str, size: usize, host: u8) -> Fleet {
+        let folder = std::env::temp_dir().join(format!("tansy-fleet-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // A name keeps its address; nothing else here connects from these.
+        let pid = std::process::id();
+        let at = |n: usize| SocketAddr::from(([127, host, (pid % 250) as u8, 1 + n as u8], 0));
+        let free = |n| TcpListener::bind(at(n)).and_then(|l| l.local_addr()).expect("a port");
+        let addresses: Vec<SocketAddr> = (0..size).map(free).collect();
+        let text = TEXT.replace("NAME", name).replace("SEAT", &addresses[0].to_string());
+        std::fs::write(folder.join("a.cue"), text).expect("a file");
+        let mut fleet = Fleet { folder, addresses, processes: Vec::new() };
+        fleet.processes.resize_with(size, || None);
+        (0..size).for_each(|n| fleet.run(n));
+        fleet
+    }
+
+    fn run(&mut self, n: usize) {
+        let mut command = Command::new(gateway());
+        command.arg("--settings").arg(self.folder.join("a.cue"));
+        command.args(["--name", &format!("f{n}"), "--peers", &self.addresses[n].to_string()]);
+        command.args(["--listen", "127.0.0.1:0", "--http", "127.0.0.1:0", "--log", "off"]);
+        if n == 0 {
+            command.arg("--state").arg(self.folder.join("seat.redb"));
+        }
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("a gateway");
+        let mut line = String::new();
+        let out = child.stdout.take().expect("its output");
+        BufReader::new(out).read_line(&mut line).expect("a line");
+        self.processes[n] = Some(child);
+        assert!(line.starts_with("ready ") && line.contains(" peers="), "{line:?}");
+    }
+
+    fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.processes[n].take() {
+            child.kill().expect("it runs");
+            child.wait().expect("it ends");
+        }
+    }
+
+    fn ask(&self, arguments: &[&str]) -> (i32, serde_json::Value) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tansy-fleet"));
+        command.args(["--json", "--at", &self.addresses[1].to_string()]).args(arguments);
+        let out = command.output().expect("it starts");
+        let text = String::from_utf8_lossy(&out.stdout).into_owned();
+        let value = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{arguments:?}: {e}: {text:?}"));
+        (out.status.code().unwrap_or(-1), value)
+    }
+
+    /// Until all that run may act and see each other.
+    fn found(&self) {
+        let running = self.processes.iter().flatten().count();
+        self.until(|s| {
+            let fronts = s["fronts"].as_array().cloned().unwrap_or_default();
+            let may = |f: &serde_json::Value| {
+                (f["seat"] == true || f["lease_ms"].as_i64() > Some(0) && f["stay_s"].as_i64() > Some(0))
+                    && f["sees"].as_u64() == Some(running as u64 - 1)
+            };
+            fronts.len() == running && fronts.iter().all(may)
+        });
+    }
+
+    fn until(&self, done: impl Fn(&serde_json::Value) -> bool) {
+        let end = Instant::now() + Duration::from_secs(30);
+        loop {
+            let (_, status) = self.ask(&["status"]);
+            if done(&status) {
+                return;
+            }
+            assert!(Instant::now() < end, "{status}");
+        }
+    }
+
+    fn file(&self, name: &str, from: &str, to: &str) -> String {
+        let text = std::fs::read_to_string(self.folder.join("a.cue")).expect("a file");
+        assert!(text.contains(from), "{from}");
+        let path = self.folder.join(name);
+        std::fs::write(&path, text.replace(from, to)).expect("a file");
+        path.display().to_string()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.processes.len()).for_each(|n| {
+            if let Some(child) = &mut self.processes[n] {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        });
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn versions_are_proposed_compared_reverted_and_refused() {
+    let fleet = Fleet::start("versions", 3, 101);
+    fleet.found();
+    let shorter = fleet.file("b.cue", "window: 30s", "window: 20s");
+    let (code, would) = fleet.ask(&["propose", &shorter, "--dry-run"]);
+    assert_eq!((code, would[0]["field"].as_str()), (0, Some("classes.pay.window")), "{would}");
+    assert_eq!((would[0]["kind"].as_str(), would[0]["new"].as_str()), (Some("joint"), Some("20s")));
+    let (code, done) = fleet.ask(&["propose", &shorter, "--expect", "1", "--why", "shorter"]);
+    assert_eq!(
+        (code, done["is"].as_str(), done["version"].as_u64()),
+        (0, Some("in force"), Some(2)),
+        "{done}"
+    );
+    // Somebody else's change would be lost; the same again changes nothing; what is wrong is said with its place.
+    let cells = fleet.file("c.cue", "group: \"zone\"", "group: \"cell\"");
+    let (code, not) = fleet.ask(&["propose", &cells, "--expect", "1"]);
+    assert!(
+        code == 3 && not["error"].as_str().is_some_and(|e| e.contains("version 2 is in force, not 1")),
+        "{not}"
+    );
+    let (code, not) = fleet.ask(&["propose", &shorter]);
+    assert!(code == 3 && not["error"].as_str().is_some_and(|e| e.contains("no field differs")), "{not}");
+    let wrong = fleet.file("d.cue", "deadline: 2s}\n    pay", "deadline: 0s}\n    pay");
+    let (code, not) = fleet.ask(&["propose", &wrong]);
+    assert!(code == 2 && not["error"].as_str().is_some_and(|e| e.contains("classes.chat.deadline")), "{not}");
+    // The same proposal by its id is one, though the version that it was made from is past.
+    let (_, first) = fleet.ask(&["propose", &cells, "--id", "77"]);
+    assert_eq!(first["version"].as_u64(), Some(3), "{first}");
+    let (code, again) = fleet.ask(&["propose", &cells, "--id", "77"]);
+    assert_eq!((code, again["version"].as_u64()), (0, Some(3)), "{again}");
+    let (code, back) = fleet.ask(&["revert", "1"]);
+    assert_eq!((code, back["version"].as_u64()), (0, Some(4)), "{back}");
+    let (_, none) = fleet.ask(&["diff", "1", "4"]);
+    assert_eq!(none.as_array().map(Vec::len), Some(0), "{none}");
+    let (_, history) = fleet.ask(&["history"]);
+    let whys: Vec<&str> =
+        history.as_array().into_iter().flatten().filter_map(|v| v["why"].as_str()).collect();
+    assert_eq!(whys, ["the first", "shorter", "", "back to version 1: the first"], "{history}");
+    let (code, _) = fleet.ask(&["revert", "9"]);
+    assert_eq!(code, 2);
+    let (code, not) = fleet.ask(&["abandon"]);
+    assert_eq!(code, 3, "{not}");
+}
+
+#[test]
+fn a_strict_change_says_whom_it_waits_for_and_goes_on_when_that_one_is_dismissed_or_back() {
+    let mut fleet = Fleet::start("strict", 4, 102);
+    fleet.found();
+    fleet.kill(3);
+    let cells = fleet.file("c.cue", "group: \"zone\"", "group: \"cell\"");
+    let (code, not) = fleet.ask(&["propose", &cells, "--wait", "1.5"]);
+    assert!(code == 4 && not["error"].as_str().is_some_and(|e| e.contains("waits for f3")), "{not}");
+    fleet.run(3);
+    fleet.until(|s| {
+        let fronts = s["fronts"].as_array().cloned().unwrap_or_default();
+        fronts.len() == 4 && fronts.iter().all(|f| f["version"] == 2)
+    });
+    fleet.kill(3);
+    let whole = fleet.file("d.cue", "group: \"zone\"", "group: \"all\"");
+    let (code, _) = fleet.ask(&["propose", &whole, "--wait", "0.5"]);
+    assert_eq!(code, 4);
+    let (code, not) = fleet.ask(&["dismiss", "nobody"]);
+    assert_eq!(code, 3, "{not}");
+    let (code, _) = fleet.ask(&["dismiss", "f3"]);
+    assert_eq!(code, 0);
+    fleet.until(|s| {
+        let fronts = s["fronts"].as_array().cloned().unwrap_or_default();
+        fronts.len() == 3 && fronts.iter().all(|f| f["version"] == 3)
+    });
+    // One that ends in peace is not waited for.
+    let child = fleet.processes[2].as_mut().expect("it runs");
+    kill_process(Pid::from_child(child), Signal::TERM).expect("it runs");
+    child.wait().expect("it ends");
+    fleet.processes[2] = None;
+    let zone = fleet.folder.join("a.cue").display().to_string();
+    let (code, done) = fleet.ask(&["propose", &zone]);
+    assert_eq!(code, 0, "{done}");
+}
+
+#[test]
+fn two_fleets_wired_to_each_other_stay_two() {
+    let north = Fleet::start("north", 2, 103);
+    let mut south = Fleet::start("south", 2, 104);
+    north.found();
+    // One of the south looks for its seat at the north's.
+    south.kill(1);
+    let text = std::fs::read_to_string(south.folder.join("a.cue")).expect("a file");
+    let wrong = text.replace(&south.addresses[0].to_string(), &north.addresses[0].to_string());
+    std::fs::write(south.folder.join("a.cue"), wrong).expect("a file");
+    south.run(1);
+    let shorter = north.file("b.cue", "window: 30s", "window: 20s");
+    let (code, done) = north.ask(&["propose", &shorter]);
+    assert_eq!(code, 0, "{done}");
+    let (_, status) = north.ask(&["status"]);
+    assert_eq!(status["fronts"].as_array().map(Vec::len), Some(2), "{status}");
+    let (_, status) = south.ask(&["status"]);
+    let lost = &status["fronts"][0];
+    assert_eq!((lost["name"].as_str(), lost["step"].as_u64()), (Some("f1"), Some(0)), "{status}");
+}
