--- a/decide/agree/src/log.rs
+++ b/decide/agree/src/log.rs
@@ -75,6 +75,8 @@
         member: Member,
         /// Its name, for people.
         name: String,
+        /// The step that it acts on; it has to be the log's, so that whoever is on the roster was waited for ever since.
+        at: Step,
     },
     /// It is known to act no more.
     Leave {
@@ -104,6 +106,8 @@
     Over,
     /// A later process of its name has joined.
     Superseded,
+    /// It joins from a step that is not the log's.
+    Behind,
     /// More front ends than a fleet may have.
     Full,
 }
@@ -124,6 +128,9 @@
             Refused::Same => write!(f, "no field differs from the latest version"),
             Refused::Past => write!(f, "that step is taken already"),
             Refused::Over => write!(f, "that version is no change under way"),
+            Refused::Behind => {
+                write!(f, "it acts on a step that is past: it has to hear of the present one first")
+            }
             Refused::Superseded => write!(f, "a later process of its name has joined"),
             Refused::Full => {
                 write!(f, "{MEMBERS} front ends are in the fleet already: dismiss those that are gone")
@@ -255,7 +262,8 @@
             Entry::Advance { from } if from != self.state.step => Err(Refused::Past),
             Entry::Advance { .. } => self.advance(),
             Entry::Abandon { version } => self.abandon(version),
-            Entry::Join { member, name } => self.join(member, name),
+            Entry::Join { at, .. } if at != self.state.step => Err(Refused::Behind),
+            Entry::Join { member, name, .. } => self.join(member, name),
             Entry::Leave { member } => {
                 if self.lists(member) {
                     self.roster.remove(&member.id);
--- a/decide/agree/src/rule.rs
+++ b/decide/agree/src/rule.rs
@@ -389,7 +389,8 @@
         matches!(schema.kind(path), Kind::Joint(_, Lapsed::Refuse)).then(|| Touch::of(path))
     };
     let refused = fields.iter().filter_map(refuses).chain(known.refused).collect();
-    Rules { fields, refused, unlisted: known.unlisted }
+    // A tenant of whom nothing is known may have a limit by now.
+    Rules { fields, refused, unlisted: true }
 }
 
 /// The rules of a front end that can't know what is in force by now: free fields as they were, joint ones at the value
--- a/decide/agree/src/stay.rs
+++ b/decide/agree/src/stay.rs
@@ -98,28 +98,31 @@
         Register { terms, guests: roster.into_iter().map(|m| (m, Guest { at: Step(0), out })).collect() }
     }
 
-    /// Grants a stay to one that the log's roster lists, where `step` is the log's. None: it has none that may live, and is
-    /// not as far as the log, so that it could act on what is past.
-    pub fn grant(&mut self, now: Time, ask: Ask, step: Step) -> Option<Grant> {
+    /// Grants a stay to one that the log's roster lists. The fleet has waited for it since it joined, so that it may go on
+    /// from whatever step it tells.
+    pub fn grant(&mut self, now: Time, ask: Ask) -> Option<Grant> {
         let out = now.saturating_add(self.terms.out(self.terms.span));
-        let guest = match self.guests.get_mut(&ask.from) {
-            Some(guest) => guest,
-            None if ask.at < step => return None,
-            None => self.guests.entry(ask.from).or_insert(Guest { at: ask.at, out }),
-        };
-        guest.at = guest.at.max(ask.at.min(step));
+        let guest = self.guests.get_mut(&ask.from)?;
+        guest.at = guest.at.max(ask.at);
         guest.out = guest.out.max(out);
         Some(Grant { to: ask.from, seq: ask.seq, span: self.terms.span })
     }
 
+    /// Whether it may hold a stay.
+    pub fn hosts(&self, member: Member) -> bool {
+        self.guests.contains_key(&member)
+    }
+
     /// It is on the roster no more: that it left is held, or that a later process of its name joined.
     pub fn dismiss(&mut self, member: Member) {
         self.guests.remove(&member);
     }
 
-    /// Those of a name before this process are over.
-    pub fn joined(&mut self, member: Member) {
-        self.guests.retain(|m, _| m.id != member.id || m.incarnation >= member.incarnation);
+    /// That it joined, at this step, is held. Those of its name before it are over.
+    pub fn joined(&mut self, now: Time, member: Member, at: Step) {
+        self.guests.retain(|m, _| m.id != member.id);
+        let out = now.saturating_add(self.terms.out(self.terms.span));
+        self.guests.insert(member, Guest { at, out });
     }
 
     /// Whether nobody who may hold a stay is behind this step. One whose stay is out counts until that it left is held:
--- a/decide/agree/tests/list.rs
+++ b/decide/agree/tests/list.rs
@@ -1,126 +1,90 @@
-//! Lists that disagree and lag: drains first, in any order, heard any number of times.
+//! Workers that leave: told in any order and any number of times, by anyone, to the same; never taken back.
 
 use proptest::prelude::*;
-use std::collections::BTreeMap;
-use tansy_agree::list::{Line, List, Roll, Standing, Worker};
-use tansy_agree::log::Step;
+use tansy_agree::list::{Leaving, Line, Standing, Worker, KEPT_FOR};
 
 fn worker(n: u8) -> Worker {
-    Worker { name: format!("w-{n}"), address: "10.0.0.1:80".into() }
+    Worker { name: format!("w{n}"), address: format!("10.0.0.{n}:1") }
 }
 
-fn line(n: u8, incarnation: u64, standing: Standing) -> Line {
-    Line { worker: worker(n), incarnation, standing }
-}
-
-fn lists() -> impl Strategy<Value = Vec<List>> {
+fn lines() -> impl Strategy<Value = Vec<Line>> {
     let standing = prop_oneof![Just(Standing::Ready), Just(Standing::Draining), Just(Standing::Gone)];
-    let line = (0u8..4, 1u64..4, standing).prop_map(|(n, i, s)| line(n, i, s));
-    let list = (0u64..2, 1u64..6, any::<bool>(), proptest::collection::vec(line, 0..5));
-    let list = list.prop_map(|(source, version, full, lines)| List { source, version, full, lines });
-    proptest::collection::vec(list, 0..12)
-}
-
-fn of(lists: &[List]) -> Roll {
-    let mut roll = Roll::default();
-    lists.iter().for_each(|l| {
-        roll.take(l);
+    let line = (0u8..4, 0u64..4, standing).prop_map(|(n, incarnation, standing)| Line {
+        worker: worker(n),
+        incarnation,
+        standing,
     });
-    roll
+    prop::collection::vec(line, 0..20)
 }
 
-fn standings(roll: &Roll) -> BTreeMap<Worker, (u64, Standing)> {
-    roll.workers().map(|(w, k)| (w.clone(), (k.incarnation, k.standing))).collect()
+fn told(lines: &[Line]) -> Vec<Line> {
+    let mut leaving = Leaving::default();
+    leaving.hear(0, lines.iter().cloned());
+    leaving.lines().collect()
 }
 
 proptest! {
     #[test]
-    fn merging_is_commutative_associative_and_idempotent(a in lists(), b in lists(), c in lists()) {
-        let (a, b, c) = (of(&a), of(&b), of(&c));
-        let join = |x: &Roll, y: &Roll| {
-            let mut z = x.clone();
-            z.merge(y);
-            z
-        };
-        prop_assert_eq!(join(&a, &b), join(&b, &a));
-        prop_assert_eq!(join(&join(&a, &b), &c), join(&a, &join(&b, &c)));
-        prop_assert_eq!(join(&a, &a), a);
+    fn the_order_and_the_number_of_times_change_nothing(all in lines(), seed in any::<u64>()) {
+        let mut other: Vec<Line> = all.iter().chain(&all).cloned().collect();
+        fastrand_shuffle(&mut other, seed);
+        prop_assert_eq!(told(&all), told(&other));
     }
 
     #[test]
-    fn a_process_never_goes_back_whatever_is_heard_after(first in lists(), then in lists(), sibling in lists()) {
-        let mut roll = of(&first);
-        let before = standings(&roll);
-        then.iter().for_each(|l| {
-            roll.take(l);
-        });
-        roll.merge(&of(&sibling));
-        for (w, (incarnation, standing)) in before {
-            let now = standings(&roll)[&w];
-            prop_assert!(now >= (incarnation, standing), "{:?}: {:?} after {:?}", w, now, (incarnation, standing));
+    fn what_is_told_on_is_all_that_another_needs(all in lines()) {
+        let (mut first, mut second) = (Leaving::default(), Leaving::default());
+        for line in &all {
+            let new = first.hear(0, [line.clone()]);
+            second.hear(0, new);
         }
+        prop_assert_eq!(first.lines().collect::<Vec<_>>(), second.lines().collect::<Vec<_>>());
+        prop_assert!(first.hear(0, all).is_empty(), "told again it is no news");
     }
 
     #[test]
-    fn a_drain_that_anyone_heard_holds_for_all_once_they_have_met(all in lists(), cut in 0usize..12) {
-        let cut = cut.min(all.len());
-        let (mut a, mut b) = (of(&all[..cut]), of(&all[cut..]));
-        let drained = |r: &Roll| -> Vec<(Worker, u64)> {
-            let out = r.workers().filter(|(_, k)| k.standing > Standing::Ready);
-            out.map(|(w, k)| (w.clone(), k.incarnation)).collect()
-        };
-        let told: Vec<(Worker, u64)> = drained(&a).into_iter().chain(drained(&b)).collect();
-        a.merge(&b);
-        b.merge(&a);
-        prop_assert_eq!(&a, &b);
-        for (w, incarnation) in told {
-            let (now, standing) = standings(&a)[&w];
-            prop_assert!(now > incarnation || standing > Standing::Ready);
+    fn a_drain_holds_for_its_process_whatever_a_list_says(all in lines()) {
+        let mut leaving = Leaving::default();
+        leaving.hear(0, all.clone());
+        for line in all.iter().filter(|l| l.standing != Standing::Ready) {
+            let taken = leaving.standing(&line.worker, line.incarnation, Standing::Ready);
+            prop_assert!(taken >= line.standing, "{:?} is taken for {:?}", line, taken);
+            // Of a later process nothing was said that binds it, unless it was told of itself.
+            let later = leaving.standing(&line.worker, 9, Standing::Ready);
+            prop_assert_eq!(later, Standing::Ready);
         }
     }
 }
 
-#[test]
-fn an_older_list_brings_nothing_back_but_its_drains_count() {
-    let list = |version, lines| List { source: 1, version, full: true, lines };
-    let mut roll = Roll::default();
-    roll.take(&list(5, vec![line(1, 1, Standing::Ready), line(2, 1, Standing::Ready)]));
-    roll.take(&list(6, vec![line(2, 1, Standing::Ready)]));
-    assert_eq!(standings(&roll)[&worker(1)], (1, Standing::Gone), "left out of a full list");
-    roll.take(&list(
-        4,
-        vec![line(1, 1, Standing::Ready), line(2, 1, Standing::Draining), line(3, 1, Standing::Ready)],
-    ));
-    assert_eq!(standings(&roll)[&worker(1)], (1, Standing::Gone));
-    assert_eq!(standings(&roll)[&worker(2)], (1, Standing::Draining), "the drain counts");
-    assert!(!standings(&roll).contains_key(&worker(3)), "the arrival does not");
-    roll.take(&list(7, vec![line(1, 2, Standing::Ready), line(2, 1, Standing::Ready)]));
-    assert_eq!(standings(&roll)[&worker(1)], (2, Standing::Ready), "a new process is another matter");
-    assert_eq!(standings(&roll)[&worker(2)], (1, Standing::Draining), "the drained one has to start again");
+fn fastrand_shuffle(lines: &mut [Line], mut seed: u64) {
+    for n in (1..lines.len()).rev() {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        lines.swap(n, (seed >> 33) as usize % (n + 1));
+    }
 }
 
 #[test]
-fn what_one_source_leaves_out_stays_while_another_names_it() {
-    let list = |source, version, lines| List { source, version, full: true, lines };
-    let mut roll = Roll::default();
-    roll.take(&list(1, 1, vec![line(1, 1, Standing::Ready)]));
-    roll.take(&list(2, 1, vec![line(1, 1, Standing::Ready)]));
-    roll.take(&list(1, 2, vec![]));
-    assert_eq!(standings(&roll)[&worker(1)], (1, Standing::Ready));
-    roll.take(&list(2, 2, vec![]));
-    assert_eq!(standings(&roll)[&worker(1)], (1, Standing::Gone));
+fn an_older_process_is_gone_once_a_later_one_was_told_of() {
+    let mut leaving = Leaving::default();
+    let line = |incarnation, standing| Line { worker: worker(1), incarnation, standing };
+    leaving.hear(0, [line(2, Standing::Draining)]);
+    assert_eq!(leaving.standing(&worker(1), 1, Standing::Ready), Standing::Gone);
+    assert_eq!(leaving.standing(&worker(1), 2, Standing::Ready), Standing::Draining);
+    assert_eq!(leaving.standing(&worker(1), 2, Standing::Gone), Standing::Gone);
+    assert_eq!(leaving.standing(&worker(1), 3, Standing::Ready), Standing::Ready);
+    // The same name elsewhere is another worker.
+    let moved = Worker { address: "10.0.0.9:1".into(), ..worker(1) };
+    assert_eq!(leaving.standing(&moved, 1, Standing::Ready), Standing::Ready);
 }
 
 #[test]
-fn what_is_gone_is_forgotten_only_when_nobody_can_bring_it_back() {
-    let list = |version, lines| List { source: 1, version, full: true, lines };
-    let mut roll = Roll::default();
-    roll.take(&list(1, vec![line(1, 1, Standing::Ready)]));
-    roll.take(&list(2, vec![]));
-    assert_eq!(roll.forget(Step(9)), 0, "not marked yet");
-    roll.mark(Step(3));
-    assert_eq!(roll.forget(Step(3)), 0, "some may not have reached that step");
-    assert_eq!(roll.forget(Step(4)), 1);
-    roll.take(&list(1, vec![line(1, 1, Standing::Ready)]));
-    assert_eq!(roll.workers().count(), 0, "the old list brings no arrival");
+fn what_nobody_tells_any_more_is_forgotten_after_the_stated_time_alone() {
+    let mut leaving = Leaving::default();
+    let line = Line { worker: worker(1), incarnation: 0, standing: Standing::Gone };
+    leaving.hear(0, [line.clone()]);
+    leaving.hear(KEPT_FOR / 2, [line]);
+    leaving.forget(KEPT_FOR + KEPT_FOR / 4);
+    assert_eq!(leaving.lines().count(), 1);
+    leaving.forget(2 * KEPT_FOR);
+    assert_eq!(leaving.lines().count(), 0);
 }
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -6,14 +6,17 @@
 //!
 //! Times are microseconds of one monotonic clock of the caller that goes on while the machine sleeps.
 
+mod lists;
 mod seat;
 
 pub use seat::{Refusal, Waits};
 
+use lists::Lists;
 use seat::Keeper;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tansy_agree::lease::{Member, Terms, Time};
+use tansy_agree::list::{Leaving, Line};
 use tansy_agree::log::{Applied, Entry, Log, State, Step};
 use tansy_agree::member::{Front, Message};
 use tansy_agree::rule::{Kind, Schema};
@@ -67,12 +70,16 @@
     Members(Vec<u8>),
     /// Of leases and steps.
     Lease(Message<State>),
-    /// For a stay, with the name in words.
-    AskStay(stay::Ask, String),
+    /// For a stay, with the name in words and the digest of the workers that leave.
+    AskStay(stay::Ask, String, u64),
     /// A stay.
     Stay(stay::Grant),
     /// To the seat: it acts no more, and never again.
     Gone(Member),
+    /// Workers that leave; whether all that the other knows is wanted back.
+    Leaving(Vec<Line>, bool),
+    /// The digest of the workers that leave, for one that knows others to tell of them.
+    Digest(u64),
 }
 
 /// What is to be done, in this order.
@@ -161,6 +168,7 @@
     next_stay: Time,
     next_join: Time,
     keeper: Option<Keeper>,
+    lists: Lists,
     heard: BTreeMap<u64, SocketAddr>,
     noted: (Step, bool, bool),
 }
@@ -177,8 +185,9 @@
         };
         let keeper = log.map(|log| Keeper::new(log, setup.stay, now));
         let stay = Stay::new(setup.stay, me);
+        let lists = Lists::new(setup.seed, now);
         let (heard, noted) = (BTreeMap::new(), (Step(0), false, false));
-        Peer { setup, members, front, stay, next_stay: now, next_join: now, keeper, heard, noted }
+        Peer { setup, members, front, stay, next_stay: now, next_join: now, keeper, lists, heard, noted }
     }
 
     /// Its setup.
@@ -211,7 +220,8 @@
     pub fn next(&self) -> Time {
         let stay = if self.keeper.is_some() { Time::MAX } else { self.next_stay };
         let seat = self.keeper.as_ref().map_or(Time::MAX, Keeper::next);
-        let all = [self.members.next().unwrap_or(Time::MAX), self.front.next(), stay, self.next_join, seat];
+        let members = self.members.next().unwrap_or(Time::MAX);
+        let all = [members, self.front.next(), stay, self.next_join, seat, self.lists.next()];
         all.into_iter().min().unwrap_or(Time::MAX)
     }
 
@@ -234,9 +244,25 @@
         if self.keeper.is_none() && now >= self.next_stay {
             self.ask_stay(now, out);
         }
+        self.lists.tick(now, self.members.all(), out);
         self.go_on(now, out);
     }
 
+    /// A list of workers was read here: what it says of those that leave is told on.
+    pub fn list(&mut self, now: Time, lines: Vec<Line>, out: &mut Vec<Command>) {
+        self.lists.hear(now, lines, self.members.all(), out);
+    }
+
+    /// Workers that leave, as anyone in the fleet was told.
+    pub fn leaving(&self) -> &Leaving {
+        self.lists.leaving()
+    }
+
+    /// Counts up with each change of [`Peer::leaving`].
+    pub fn leavings(&self) -> u64 {
+        self.lists.changes()
+    }
+
     /// Takes what a front end wrote.
     pub fn hear(&mut self, now: Time, from: &Name, body: Body, out: &mut Vec<Command>) {
         if from.id == self.setup.me.id {
@@ -257,12 +283,29 @@
                 self.front.hear(now, from.id, message, &mut letters);
                 self.post(letters, out);
             }
-            Body::AskStay(ask, name) => {
+            Body::AskStay(ask, name, digest) => {
                 let member = from.member();
                 if let Some(keeper) = self.keeper.as_mut().filter(|_| ask.from == member) {
-                    if let Some(grant) = keeper.stay(now, ask, name) {
-                        out.push(Command::Send { to: from.address, body: Body::Stay(grant) });
-                    }
+                    // One that starts from nothing hears first of the workers that leave.
+                    let told = digest == self.lists.digest();
+                    let grant = if told || keeper.hosts(member) { keeper.stay(now, ask, name) } else { None };
+                    let body = match grant {
+                        Some(grant) => Some(Body::Stay(grant)),
+                        None if !told => Some(self.lists.whole(true)),
+                        None => None,
+                    };
+                    out.extend(body.map(|body| Command::Send { to: from.address, body }));
+                }
+            }
+            Body::Leaving(lines, back) => {
+                self.lists.hear(now, lines, self.members.all(), out);
+                if back {
+                    out.push(Command::Send { to: from.address, body: self.lists.whole(false) });
+                }
+            }
+            Body::Digest(digest) => {
+                if digest != self.lists.digest() {
+                    out.push(Command::Send { to: from.address, body: self.lists.whole(true) });
                 }
             }
             Body::Gone(member) => {
@@ -344,7 +387,8 @@
         self.next_stay = now + if self.stay.left(now) == 0 { AGAIN } else { often };
         // One that knows nothing acts on nothing: it has no need of a stay.
         if at > Step(0) {
-            let body = Body::AskStay(self.stay.ask(now, at), self.setup.name.clone());
+            let digest = self.lists.digest();
+            let body = Body::AskStay(self.stay.ask(now, at), self.setup.name.clone(), digest);
             out.push(Command::Send { to: self.setup.seat.1, body });
         }
     }
--- /dev/null
+++ b/decide/peer/src/lists.rs
@@ -0,0 +1,108 @@
+//! Workers that leave, told on: news at once to a few, and now and then a digest to one, so that what was lost on the way
+//! is found.
+
+use crate::{Body, Command};
+use tansy_agree::lease::Time;
+use tansy_agree::list::{Leaving, Line, Standing};
+use tansy_members::Name;
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// Front ends that are told of what is new here; each tells as many.
+const TELLS: usize = 3;
+/// Time between two digests.
+const DIGEST_EVERY: Time = 500_000;
+
+pub(crate) struct Lists {
+    leaving: Leaving,
+    digest: u64,
+    changes: u64,
+    next: Time,
+    rng: fastrand::Rng,
+}
+
+impl Lists {
+    pub(crate) fn new(seed: u64, now: Time) -> Lists {
+        let leaving = Leaving::default();
+        let digest = digest(&leaving);
+        Lists { leaving, digest, changes: 0, next: now, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    pub(crate) fn leaving(&self) -> &Leaving {
+        &self.leaving
+    }
+
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    pub(crate) fn next(&self) -> Time {
+        self.next
+    }
+
+    /// All that is known, for one that knows something else.
+    pub(crate) fn whole(&self, back: bool) -> Body {
+        Body::Leaving(self.leaving.lines().collect(), back)
+    }
+
+    /// Takes lines; what is new of them goes on to a few others.
+    pub(crate) fn hear<'a>(
+        &mut self,
+        now: Time,
+        lines: Vec<Line>,
+        others: impl Iterator<Item = &'a Name>,
+        out: &mut Vec<Command>,
+    ) {
+        let new = self.leaving.hear(now, lines);
+        if new.is_empty() {
+            return;
+        }
+        self.changed();
+        let others: Vec<&Name> = others.collect();
+        for to in self.rng.choose_multiple(others.into_iter(), TELLS) {
+            out.push(Command::Send { to: to.address, body: Body::Leaving(new.clone(), false) });
+        }
+    }
+
+    pub(crate) fn tick<'a>(
+        &mut self,
+        now: Time,
+        others: impl Iterator<Item = &'a Name>,
+        out: &mut Vec<Command>,
+    ) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + DIGEST_EVERY;
+        let count = self.leaving.lines().count();
+        self.leaving.forget(now);
+        if self.leaving.lines().count() != count {
+            self.changed();
+        }
+        if let Some(to) = self.rng.choice(others.collect::<Vec<_>>()) {
+            out.push(Command::Send { to: to.address, body: Body::Digest(self.digest) });
+        }
+    }
+
+    fn changed(&mut self) {
+        self.changes += 1;
+        self.digest = digest(&self.leaving);
+    }
+}
+
+/// The same for the same lines, at every front end.
+fn digest(leaving: &Leaving) -> u64 {
+    let mut hash = Xxh3Default::new();
+    for line in leaving.lines() {
+        for text in [&line.worker.name, &line.worker.address] {
+            hash.update(&(text.len() as u64).to_le_bytes());
+            hash.update(text.as_bytes());
+        }
+        hash.update(&line.incarnation.to_le_bytes());
+        hash.update(&[u8::from(line.standing == Standing::Gone)]);
+    }
+    hash.digest()
+}
--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -98,19 +98,24 @@
         if self.log.lists(ask.from) {
             // One about whom it is being written that it left gets none: it would not be waited for.
             let leaves = |p: &Pending| matches!(&p.entry, Entry::Leave { member } if *member == ask.from);
-            let step = self.log.state().step;
-            return match self.waiting.iter().any(leaves) {
-                true => None,
-                false => self.register.grant(now, ask, step),
-            };
+            let leaving = self.waiting.iter().any(leaves);
+            return if leaving { None } else { self.register.grant(now, ask) };
         }
         let joins = |p: &Pending| matches!(&p.entry, Entry::Join { member, .. } if *member == ask.from);
         if self.broken.is_none() && !self.waiting.iter().any(joins) && self.waiting.len() < WAITING {
-            self.waiting.push_back(Pending { entry: Entry::Join { member: ask.from, name }, request: None });
+            self.waiting.push_back(Pending {
+                entry: Entry::Join { member: ask.from, name, at: ask.at },
+                request: None,
+            });
         }
         None
     }
 
+    /// Whether it may hold a stay already.
+    pub(crate) fn hosts(&self, member: Member) -> bool {
+        self.register.hosts(member)
+    }
+
     /// It acts no more.
     pub(crate) fn gone(&mut self, member: Member) {
         if self.broken.is_none() && self.waiting.len() < WAITING {
@@ -150,12 +155,12 @@
         let p = self.waiting.pop_front()?;
         let before = self.log.state().step;
         let outcome = self.log.apply(p.entry.clone()).map_err(Refusal::Log);
-        out.extend(p.request.map(|request| Command::Answer { request, outcome }));
         match p.entry {
-            Entry::Leave { member } => self.register.dismiss(member),
-            Entry::Join { member, .. } => self.register.joined(member),
+            Entry::Leave { member } if !self.log.lists(member) => self.register.dismiss(member),
+            Entry::Join { member, at, .. } if outcome.is_ok() => self.register.joined(now, member, at),
             _ => {}
         }
+        out.extend(p.request.map(|request| Command::Answer { request, outcome }));
         let state = self.log.state();
         let joint = matches!(state.next, Some((_, Phase::Joint)));
         self.joint_since = joint.then_some((state.step, now)).map(|new| match self.joint_since {
--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -9,10 +9,15 @@
 use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use tansy_agree::lease::{Member, Terms};
+use std::net::SocketAddr;
+use tansy_agree::lease::Terms;
 use tansy_agree::log::{Entry, Log, Phase, State, Step, Version};
-use tansy_agree::member::{Front, Message, View};
-use tansy_agree::rule::{contradictions, lapsed, Fields, Kind, Lapsed, Rules, Schema, Stricter, Value};
+use tansy_agree::member::Message;
+use tansy_agree::rule::{
+    apart, contradictions, lapsed, Fields, Kind, Lapsed, Rules, Schema, Stricter, Value,
+};
+use tansy_members::{Name, Pace};
+use tansy_peer::{Body, Command, Peer, Setup};
 
 /// A mistake planted into a run, to see that the audit finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -27,6 +32,8 @@
     Unsynced,
     /// A clock's rate is off by far more than the bound.
     WildClock,
+    /// Changes of strict fields don't wait for who is on the roster.
+    NoRoster,
 }
 
 /// What is played.
@@ -36,6 +43,8 @@
     pub fronts: usize,
     /// Length of a lease and bound on clock rates.
     pub terms: Terms,
+    /// Length of a stay.
+    pub stay: Time,
     /// Faults are over by then; the run ends [`Play::calm`] later.
     pub until: Time,
     /// Time that all have to agree again.
@@ -56,8 +65,9 @@
         Play {
             fronts,
             terms: Terms { span: SECOND * 6 / 10, ppm: 1_000 },
+            stay: 6 * SECOND,
             until: 40 * SECOND,
-            calm: 10 * SECOND,
+            calm: 18 * SECOND,
             changes: 12,
             ways: Ways::default(),
             plant: None,
@@ -79,6 +89,8 @@
     pub force_ms: Vec<u64>,
     /// Share of front ends' time up in which they held no live lease.
     pub lapsed: f64,
+    /// Share of it in which they held no live stay.
+    pub stayless: f64,
     /// Messages a front end a second.
     pub messages: f64,
     /// Bytes a front end a second, as estimated by [`size`].
@@ -89,6 +101,10 @@
 
 /// How the fields of the played settings agree.
 fn schema() -> Schema {
+    schema_with(Kind::Strict)
+}
+
+fn schema_with(strict: Kind) -> Schema {
     let least = |v| Kind::Joint(Stricter::Least, Lapsed::Strictest(v));
     Schema::new([
         ("worker.max_attempts", least(Value::Int(1))),
@@ -99,7 +115,7 @@
             Kind::Joint(order, Lapsed::Strictest(Value::Text("unsafe".into())))
         }),
         ("classes.*.aim", Kind::Free),
-        ("classes.*.group", Kind::Strict),
+        ("classes.*.group", strict),
         ("tenants.*.quota", Kind::Joint(Stricter::Least, Lapsed::Refuse)),
     ])
 }
@@ -141,14 +157,21 @@
     fields
 }
 
-/// About what a message takes on a link, bytes: fixed parts as they are, a state as its fields' text.
-pub fn size(message: &Message<State>) -> usize {
+/// About what a letter takes on a link, bytes: fixed parts as they are, a state as its fields' text.
+pub fn size(body: &Body) -> usize {
     let fields = |f: &Fields| f.keys().map(|p| p.len() + 12).sum::<usize>();
-    match message {
-        Message::Ask(_) => 40,
-        Message::Step(_) => 12,
-        Message::Reached { .. } => 28,
-        Message::Grant(g) => {
+    let head = 60;
+    head + match body {
+        Body::Members(bytes) => bytes.len(),
+        Body::Lease(Message::Ask(_)) => 40,
+        Body::Lease(Message::Step(_)) => 12,
+        Body::Lease(Message::Reached { .. }) | Body::Gone(_) | Body::Stay(_) => 28,
+        Body::AskStay(_, name, _) => 38 + name.len(),
+        Body::Digest(_) => 9,
+        Body::Leaving(lines, _) => {
+            lines.iter().map(|l| l.worker.name.len() + l.worker.address.len() + 14).sum()
+        }
+        Body::Lease(Message::Grant(g)) => {
             let state = g.state.as_ref();
             let next = state.and_then(|s| s.next.as_ref()).map_or(0, |(n, _)| fields(&n.fields));
             48 + state.map_or(0, |s| fields(&s.force.fields)) + next
@@ -156,48 +179,36 @@
     }
 }
 
+fn address(n: usize) -> SocketAddr {
+    ([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7000).into()
+}
+
+fn place(address: SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[1..].iter().fold(0, |n, o| n << 8 | usize::from(*o)),
+        std::net::IpAddr::V6(_) => usize::MAX,
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Event {
-    Message {
-        to: usize,
-        from: usize,
-        message: Message<State>,
-    },
-    Tick {
-        who: usize,
-        incarnation: u64,
-    },
-    Start {
-        who: usize,
-    },
-    Stop {
-        who: usize,
-    },
-    Pause {
-        who: usize,
-    },
-    Wake {
-        who: usize,
-    },
-    /// It knows all members by now.
-    Learn {
-        who: usize,
-        incarnation: u64,
-    },
+    Letter { to: usize, from: Name, body: Body },
+    Tick { who: usize, incarnation: u64 },
+    Start { who: usize },
+    Stop { who: usize },
+    Pause { who: usize },
+    Wake { who: usize },
     Propose,
     Abandon,
-    Synced {
-        incarnation: u64,
-        entries: usize,
-    },
+    Synced { incarnation: u64 },
 }
 
 /// A process, or the place of one.
 struct Process {
-    front: Option<Front<State>>,
+    peer: Option<Peer>,
     incarnation: u64,
-    /// Messages that came while it was stopped.
-    stopped: Option<Vec<(usize, Message<State>)>>,
+    /// Letters that came while it was stopped.
+    stopped: Option<Vec<(Name, Body)>>,
     /// Its clock: local time is `offset + rate` times the true one.
     rate: f64,
     offset: Time,
@@ -205,17 +216,36 @@
     planned: Time,
     up: Time,
     out: Time,
+    stayless: Time,
     seen: Time,
     /// When it last held a lease.
     live: Time,
 }
 
+/// By what a front end acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Right {
+    Whole,
+    Apart,
+    Lapsed,
+}
+
 impl Process {
     fn local(&self, now: Time) -> Time {
         self.offset + (now as f64 * self.rate) as Time
     }
     fn runs(&self) -> bool {
-        self.front.is_some() && self.stopped.is_none()
+        self.peer.is_some() && self.stopped.is_none()
+    }
+    /// What it would act on now, and by which right; none: nothing is known to it, and it takes no call.
+    fn acting(&self, now: Time) -> Option<(&State, Right)> {
+        let acting = self.peer.as_ref()?.acting(self.local(now));
+        let right = match (acting.lease > 0, acting.stay > 0) {
+            (true, true) => Right::Whole,
+            (false, true) => Right::Apart,
+            (_, false) => Right::Lapsed,
+        };
+        acting.state.map(|s| (s, right))
     }
 }
 
@@ -223,6 +253,8 @@
 struct Disk {
     log: Log,
     written: Vec<Entry>,
+    /// Entries that were synced while the process stood still: it hears of them when it wakes.
+    owed: usize,
 }
 
 struct Run<'a> {
@@ -235,11 +267,8 @@
     numbers: u64,
     all: Vec<Process>,
     disk: Disk,
-    /// What the seat's process takes its log to be.
-    told: Log,
     schema: Schema,
-    view: View,
-    judged: BTreeSet<(u64, u64, bool)>,
+    judged: BTreeSet<(u64, u64, Right)>,
     proposed: BTreeMap<Version, Time>,
     waiting: Option<(Version, Time)>,
     outcome: Outcome,
@@ -290,7 +319,7 @@
         let all = (0..play.fronts).map(|_| {
             let bound = if wild { 0.4 } else { play.terms.ppm as f64 / 1e6 };
             Process {
-                front: None,
+                peer: None,
                 incarnation: 0,
                 stopped: None,
                 rate: 1.0 + (rng.f64() * 2.0 - 1.0) * bound,
@@ -298,6 +327,7 @@
                 planned: Time::MAX,
                 up: 0,
                 out: 0,
+                stayless: 0,
                 seen: 0,
                 live: 0,
             }
@@ -312,10 +342,8 @@
             events: BTreeMap::new(),
             numbers: 0,
             all,
-            disk: Disk { log: log.clone(), written: Vec::new() },
-            told: log,
+            disk: Disk { log, written: Vec::new(), owed: 0 },
             schema: schema(),
-            view: View::new(0, 0..play.fronts as u64),
             judged: BTreeSet::new(),
             proposed: BTreeMap::new(),
             waiting: None,
@@ -364,139 +392,128 @@
             Event::Pause { who } => {
                 self.account(who);
                 let p = &mut self.all[who];
-                p.stopped = p.stopped.take().or(Some(Vec::new())).filter(|_| p.front.is_some());
+                p.stopped = p.stopped.take().or(Some(Vec::new())).filter(|_| p.peer.is_some());
             }
-            Event::Message { to, from, message } => {
+            Event::Letter { to, from, body } => {
                 if let Some(held) = &mut self.all[to].stopped {
                     // What the kernel holds for a stopped process is bounded.
                     if held.len() < 64 {
-                        held.push((from, message));
+                        held.push((from, body));
                     }
                 } else {
-                    self.hear(to, from, message);
+                    self.hear(to, &from, body);
                 }
             }
             Event::Tick { who, incarnation } => {
                 if self.all[who].incarnation == incarnation {
                     self.all[who].planned = Time::MAX;
-                    self.act(who, |front, now, out| front.tick(now, out));
+                    self.act(who, Peer::tick);
                 }
             }
             Event::Start { who } => self.start(who),
             Event::Stop { who } => {
                 self.account(who);
                 let p = &mut self.all[who];
-                (p.front, p.stopped, p.planned) = (None, None, Time::MAX);
+                (p.peer, p.stopped, p.planned) = (None, None, Time::MAX);
                 if who == 0 {
                     // What was not synced is lost, or some of it, or none.
                     let kept = self.rng.usize(0..=self.disk.written.len());
                     self.disk.written.truncate(kept);
-                    self.sync(kept);
+                    (0..kept).for_each(|_| self.sync());
+                    self.disk.owed = 0;
                 }
             }
             Event::Wake { who } => {
                 let held = self.all[who].stopped.take().unwrap_or_default();
-                if who == 0 && self.all[0].front.is_some() {
-                    self.catch_up();
+                for _ in 0..if who == 0 { std::mem::take(&mut self.disk.owed) } else { 0 } {
+                    self.act(0, |p, now, out| p.held(now, Ok(()), out));
                 }
-                for (from, message) in held {
-                    self.hear(who, from, message);
-                }
-                self.act(who, |front, now, out| front.tick(now, out));
-            }
-            Event::Learn { who, incarnation } => {
-                let view = self.view.clone();
-                if self.all[who].incarnation == incarnation {
-                    self.act(who, |front, now, out| {
-                        front.knows(view);
-                        front.tick(now, out);
-                    });
+                for (from, body) in held {
+                    self.hear(who, &from, body);
                 }
+                self.act(who, Peer::tick);
             }
             Event::Propose => {
-                let (base, from) = (self.told.state().latest(), &self.told.state().force.fields);
-                let fields = changed(&mut self.rng, from);
                 let id = self.rng.u64(1..);
-                self.write(Entry::Propose { id, base, fields, why: "a change".into() });
+                let Some(log) = self.all[0].peer.as_ref().and_then(Peer::log) else { return };
+                let (base, from) = (log.state().latest(), log.state().force.fields.clone());
+                let fields = changed(&mut self.rng, &from);
+                let entry = Entry::Propose { id, base, fields, why: "a change".into() };
+                self.act(0, |p, now, out| p.request(now, id, entry, out));
             }
             Event::Abandon => {
-                let next = self.told.state().next.as_ref().map(|(n, _)| n.version);
-                next.into_iter().for_each(|version| self.write(Entry::Abandon { version }));
+                let next = self.disk.log.state().next.as_ref().map(|(n, _)| n.version);
+                if let Some(version) = next {
+                    self.act(0, |p, now, out| p.request(now, 0, Entry::Abandon { version }, out));
+                }
             }
-            Event::Synced { incarnation, entries } => {
+            Event::Synced { incarnation } => {
                 // The disk goes on while the process stands still; that hears of it when it wakes.
-                if self.all[0].incarnation == incarnation && self.all[0].front.is_some() {
-                    self.sync(entries);
-                    self.catch_up();
+                if self.all[0].incarnation == incarnation && self.all[0].peer.is_some() {
+                    self.sync();
+                    if self.play.plant != Some(Plant::Unsynced) {
+                        match self.all[0].runs() {
+                            true => self.act(0, |p, now, out| p.held(now, Ok(()), out)),
+                            false => self.disk.owed += 1,
+                        }
+                    }
+                    let joint = matches!(self.disk.log.state().next, Some((_, Phase::Joint)));
+                    if self.play.plant == Some(Plant::NoJoint) && joint {
+                        let from = self.disk.log.state().step;
+                        self.act(0, |p, now, out| p.request(now, 0, Entry::Advance { from }, out));
+                    }
                 }
             }
         }
-        self.go_on();
+        self.in_force();
     }
 
     fn start(&mut self, who: usize) {
-        if self.all[who].front.is_some() {
+        if self.all[who].peer.is_some() {
             return;
         }
-        // A process that starts knows the seat, itself and some others; all of them a while later.
-        let known = (0..self.play.fronts as u64).filter(|n| *n == who as u64 || self.rng.bool());
-        let view = View::new(0, known.collect::<Vec<_>>());
-        let incarnation = self.all[who].incarnation + 1;
-        let learns = self.now + self.rng.i64(SECOND / 10..5 * SECOND);
-        self.plan(learns, Event::Learn { who, incarnation });
-        let (terms, play) = (self.play.terms, self.play);
+        let (play, seed) = (self.play, self.rng.u64(..));
         let p = &mut self.all[who];
         p.incarnation += 1;
         p.seen = self.now;
         // A new process has a clock of its own beginning.
         p.offset = self.rng.i64(0..1000 * SECOND);
-        let (me, now) = (Member { id: who as u64, incarnation: p.incarnation }, p.local(self.now));
-        p.front = Some(if who == 0 {
-            self.told = self.disk.log.clone();
-            let began = if play.plant == Some(Plant::NoWait) { now - 10 * terms.span } else { now };
-            Front::seat(terms, me, view, self.told.state().clone(), Time::MAX, began)
-        } else {
-            Front::new(terms, me, view, now)
-        });
-        self.act(who, |front, now, out| front.tick(now, out));
+        // The seat with this mistake takes strict fields for free ones.
+        let strict = if play.plant == Some(Plant::NoRoster) { Kind::Free } else { Kind::Strict };
+        let setup = Setup {
+            fleet: 1,
+            name: format!("f{who}"),
+            me: Name::new(who as u64, p.incarnation, address(who)),
+            seat: (0, address(0)),
+            lease: play.terms,
+            stay: Terms { span: play.stay, ..play.terms },
+            pace: Pace { size: play.fronts as u32, ..Pace::default() },
+            schema: if who == 0 { schema_with(strict) } else { schema() },
+            seed,
+        };
+        let now = p.local(self.now);
+        let log = (who == 0).then(|| self.disk.log.clone());
+        let began = if play.plant == Some(Plant::NoWait) { now - 10 * play.terms.span } else { now };
+        p.peer = Some(Peer::new(setup, log, began));
+        self.act(who, Peer::tick);
     }
 
-    /// The seat writes an entry; it holds once it is synced.
-    fn write(&mut self, entry: Entry) {
-        if !self.all[0].runs()
-            || self.told.clone().apply(entry.clone()).is_err()
-            || !self.disk.written.is_empty()
-        {
+    /// The first entry that was written is synced.
+    fn sync(&mut self) {
+        if self.disk.written.is_empty() {
             return;
         }
-        self.disk.written.push(entry.clone());
-        let takes = self.rng.i64(SECOND / 2000..SECOND / 20);
-        let (incarnation, entries) = (self.all[0].incarnation, self.disk.written.len());
-        self.plan(self.now + takes, Event::Synced { incarnation, entries });
-        if self.play.plant == Some(Plant::Unsynced) {
-            let _ = self.told.apply(entry);
-            self.tell();
+        let entry = self.disk.written.remove(0);
+        let before = self.disk.log.state().force.version;
+        let _ = self.disk.log.apply(entry);
+        let state = self.disk.log.state();
+        if let Some((next, _)) = &state.next {
+            self.proposed.entry(next.version).or_insert(self.now);
         }
-    }
-
-    fn sync(&mut self, entries: usize) {
-        let entries = entries.min(self.disk.written.len());
-        for entry in self.disk.written.drain(..entries).collect::<Vec<_>>() {
-            let before = self.disk.log.state().force.version;
-            let _ = self.disk.log.apply(entry);
-            let joint = matches!(self.disk.log.state().next, Some((_, Phase::Joint)));
-            if self.play.plant == Some(Plant::NoJoint) && joint {
-                let from = self.disk.log.state().step;
-                let _ = self.disk.log.apply(Entry::Advance { from });
-            }
-            let state = self.disk.log.state();
-            if let Some((next, _)) = &state.next {
-                self.proposed.entry(next.version).or_insert(self.now);
-            }
-            if state.force.version > before {
-                self.outcome.in_force += 1;
-                self.waiting = Some((state.force.version, self.proposed[&state.force.version]));
-            }
+        if state.force.version > before {
+            self.outcome.in_force += 1;
+            let since = self.proposed.get(&state.force.version).copied().unwrap_or(self.now);
+            self.waiting = Some((state.force.version, since));
         }
         // The log moved: everyone is judged by it.
         for who in 0..self.all.len() {
@@ -504,31 +521,12 @@
         }
     }
 
-    fn catch_up(&mut self) {
-        if self.all[0].runs() {
-            self.told = self.disk.log.clone();
-            self.tell();
-        }
-    }
-
-    fn tell(&mut self) {
-        let state = self.told.state().clone();
-        self.act(0, |front, now, out| front.stepped(now, state, out));
-    }
-
-    /// The seat goes on with a change once all have come as far.
-    fn go_on(&mut self) {
-        let p = &self.all[0];
-        let from = self.told.state().step;
-        let reached = p.runs() && p.front.as_ref().is_some_and(|f| f.reached(p.local(self.now), from));
-        if reached && self.told.unsettled() {
-            self.write(Entry::Advance { from });
-        }
-        // In force at every front end that runs: time from its proposal.
+    /// In force at every front end that runs: time from its proposal.
+    fn in_force(&mut self) {
         if let Some((version, since)) = self.waiting {
-            let there = |p: &Process| {
-                let acts = p.front.as_ref().and_then(|f| f.acts(p.local(self.now)));
-                !p.runs() || acts.is_none() || acts.is_some_and(|s| s.force.version >= version)
+            let there = |p: &Process| match p.acting(self.now) {
+                Some((s, Right::Whole)) if p.runs() => s.force.version >= version,
+                _ => true,
             };
             if self.all.iter().all(there) {
                 self.outcome.force_ms.push(((self.now - since) / 1000) as u64);
@@ -537,36 +535,52 @@
         }
     }
 
-    fn hear(&mut self, to: usize, from: usize, message: Message<State>) {
-        let mut message = message;
-        if let (Message::Grant(g), Some(Plant::CountedFromAnswer)) = (&mut message, self.play.plant) {
+    fn hear(&mut self, to: usize, from: &Name, body: Body) {
+        let mut body = body;
+        if let (Body::Lease(Message::Grant(g)), Some(Plant::CountedFromAnswer)) = (&mut body, self.play.plant)
+        {
             // An ask of this moment takes the place of the one that was answered.
             let p = &mut self.all[to];
             let now = p.local(self.now);
             let mut asks = Vec::new();
-            if let Some(front) = p.front.as_mut() {
-                front.hear(now, 0, Message::Step(NEVER), &mut asks);
+            if let Some(peer) = p.peer.as_mut() {
+                peer.hear(now, from, Body::Lease(Message::Step(NEVER)), &mut asks);
             }
-            if let (Some((_, Message::Ask(a))), true) = (asks.first(), g.to.incarnation == p.incarnation) {
-                g.seq = a.seq;
+            let seq = asks.iter().find_map(|c| match c {
+                Command::Send { body: Body::Lease(Message::Ask(a)), .. } => Some(a.seq),
+                _ => None,
+            });
+            if let (Some(seq), true) = (seq, g.to.incarnation == p.incarnation) {
+                g.seq = seq;
             }
         }
-        self.act(to, |front, now, out| front.hear(now, from as u64, message, out));
+        self.act(to, |peer, now, out| peer.hear(now, from, body, out));
     }
 
-    /// Lets a process act, sends what it says and plans its next tick; it is judged before and after.
-    fn act(
-        &mut self,
-        who: usize,
-        act: impl FnOnce(&mut Front<State>, Time, &mut Vec<(u64, Message<State>)>),
-    ) {
+    /// Lets a process act, carries out what it wants and plans its next tick; it is judged before and after.
+    fn act(&mut self, who: usize, act: impl FnOnce(&mut Peer, Time, &mut Vec<Command>)) {
         self.account(who);
         let p = &mut self.all[who];
         let now = p.local(self.now);
-        let (Some(front), None) = (p.front.as_mut(), p.stopped.as_ref()) else { return };
+        let (Some(peer), None) = (p.peer.as_mut(), p.stopped.as_ref()) else { return };
         let mut out = Vec::new();
-        act(front, now, &mut out);
-        let next = front.next();
+        act(peer, now, &mut out);
+        let unsynced = self.play.plant == Some(Plant::Unsynced);
+        let mut n = 0;
+        while n < out.len() {
+            if let Command::Hold { entry } = &out[n] {
+                self.disk.written.push(entry.clone());
+                if unsynced {
+                    peer.held(now, Ok(()), &mut out);
+                }
+                let takes = self.rng.i64(SECOND / 2000..SECOND / 20);
+                self.numbers += 1;
+                self.queue.push(Reverse((self.now + takes, self.numbers)));
+                self.events.insert(self.numbers, Event::Synced { incarnation: p.incarnation });
+            }
+            n += 1;
+        }
+        let next = peer.next();
         if next < Time::MAX && next != p.planned {
             p.planned = next;
             let wait = ((next - now).max(1) as f64 / p.rate).ceil() as Time;
@@ -574,56 +588,64 @@
             self.plan(self.now + wait, Event::Tick { who, incarnation });
         }
         self.judge(who);
-        for (to, message) in out {
-            let to = to as usize;
+        let Some(from) = self.all[who].peer.as_ref().map(|p| p.setup().me.clone()) else { return };
+        for command in out {
+            let Command::Send { to, body } = command else { continue };
+            let to = place(to);
+            if to >= self.all.len() {
+                continue;
+            }
             self.sent += 1;
-            self.sent_bytes += size(&message) as u64;
+            self.sent_bytes += size(&body) as u64;
             self.sent_seat += u64::from(to == 0 || who == 0);
             for at in self.net.carry(&mut self.rng, self.now, who, to) {
-                self.plan(at, Event::Message { to, from: who, message: message.clone() });
+                self.plan(at, Event::Letter { to, from: from.clone(), body: body.clone() });
             }
         }
     }
 
-    /// Counts the time that a process was up, and without a lease.
+    /// Counts the time that a process was up, and without a lease or a stay.
     fn account(&mut self, who: usize) {
+        let now = self.now;
         let p = &mut self.all[who];
-        if let (Some(front), None) = (&p.front, &p.stopped) {
-            let now = self.now;
-            let span = now - p.seen;
+        let span = now - p.seen;
+        p.seen = now;
+        if p.runs() {
             p.up += span;
-            match front.acts(p.local(now)) {
-                Some(_) => p.live = now,
-                None => p.out += span,
+            match p.acting(now).map(|a| a.1) {
+                Some(Right::Whole) => p.live = now,
+                Some(Right::Apart) => p.out += span,
+                Some(Right::Lapsed) | None => (p.out, p.stayless) = (p.out + span, p.stayless + span),
             }
         }
-        p.seen = self.now;
     }
 
     /// What this process would act on now, against what is in force by the seat's disk.
     fn judge(&mut self, who: usize) {
         let p = &self.all[who];
-        let (Some(front), None) = (&p.front, &p.stopped) else { return };
+        if !p.runs() {
+            return;
+        }
         let force = &self.disk.log.state().force;
-        let acts = front.acts(p.local(self.now));
-        let Some(known) = acts.or(front.known()) else { return };
+        let Some((known, right)) = p.acting(self.now) else { return };
         let step = self.disk.log.state().step;
-        if acts.is_some() && known.step > step {
+        if right == Right::Whole && known.step > step {
             let told = format!("acts on step {}, the disk holds {}", known.step.0, step.0);
             return self.broken(who, told);
         }
         // The same step against the same version was judged before.
-        if !self.judged.insert((known.step.0, force.version.0, acts.is_some())) {
+        if !self.judged.insert((known.step.0, force.version.0, right)) {
             return;
         }
-        let rules: Rules = match acts {
-            Some(state) => state.rules(&self.schema),
-            None => lapsed(&self.schema, &known.force.fields),
+        let rules: Rules = match right {
+            Right::Whole => known.rules(&self.schema),
+            Right::Apart => apart(&self.schema, known.rules(&self.schema)),
+            Right::Lapsed => lapsed(&self.schema, &known.force.fields),
         };
         let wrong = contradictions(&self.schema, &force.fields, &rules);
         if let Some((path, _)) = wrong.first() {
-            let how = if acts.is_some() { "with a lease" } else { "without a lease" };
-            let told = format!("{how}, step {}: {path} against version {}", known.step.0, force.version.0);
+            let told =
+                format!("{right:?} at step {}: {path} against version {}", known.step.0, force.version.0);
             self.broken(who, told);
         }
     }
@@ -636,12 +658,13 @@
         for who in 0..self.all.len() {
             self.account(who);
             let p = &self.all[who];
-            let behind = match p.front.as_ref().and_then(|f| f.acts(p.local(self.now))) {
-                Some(s) if s.step == self.disk.log.state().step => None,
-                Some(s) => Some(format!("still acts on step {}", s.step.0)),
+            let behind = match p.acting(self.now) {
+                Some((s, Right::Whole)) if s.step == self.disk.log.state().step => None,
+                Some((s, Right::Whole)) => Some(format!("still acts on step {}", s.step.0)),
                 // One that fell out for a moment, by messages lost in a row, is not one that found no way back.
-                None if self.now - p.live < 2 * SECOND => None,
-                None => Some("holds no lease".into()),
+                _ if self.now - p.live < 2 * SECOND => None,
+                Some((_, Right::Lapsed)) | None => Some("holds no stay".into()),
+                Some((_, Right::Apart)) => Some("holds no lease".into()),
             };
             if let (Some(what), true, true) = (behind, p.runs(), self.outcome.broken.is_empty()) {
                 self.broken(who, format!("{what} after all faults are over"));
@@ -650,10 +673,13 @@
         if self.disk.log.unsettled() && self.outcome.broken.is_empty() {
             self.broken(0, "has a change that never ended".into());
         }
-        let (up, out) = self.all.iter().fold((0, 0), |(u, o), p| (u + p.up, o + p.out));
+        let up: Time = self.all.iter().map(|p| p.up).sum();
+        let part = |of: fn(&Process) -> Time| self.all.iter().map(of).sum::<Time>() as f64 / up.max(1) as f64;
+        let (lapsed, stayless) = (part(|p| p.out), part(|p| p.stayless));
         let seconds = self.now as f64 / SECOND as f64;
         let each = seconds * self.play.fronts as f64;
-        self.outcome.lapsed = out as f64 / up.max(1) as f64;
+        self.outcome.lapsed = lapsed;
+        self.outcome.stayless = stayless;
         self.outcome.messages = self.sent as f64 / each;
         self.outcome.bytes = self.sent_bytes as f64 / each;
         self.outcome.seat_messages = self.sent_seat as f64 / seconds;
@@ -679,6 +705,8 @@
     pub force_ms: [u64; 3],
     /// Share of time without a live lease.
     pub lapsed: f64,
+    /// Share of time without a live stay.
+    pub stayless: f64,
     /// Messages a front end a second.
     pub messages: f64,
     /// Bytes a front end a second.
@@ -716,6 +744,7 @@
         in_force: all.iter().map(|o| o.in_force).sum(),
         force_ms: [0.5, 0.99, 1.0].map(|q| force.value_at_quantile(q)),
         lapsed: mean(|o| o.lapsed),
+        stayless: mean(|o| o.stayless),
         messages: mean(|o| o.messages),
         bytes: mean(|o| o.bytes),
         seat_messages: mean(|o| o.seat_messages),
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -57,6 +57,8 @@
     Unsynced,
     /// Clocks out of bound.
     WildClock,
+    /// Strict changes don't wait.
+    NoRoster,
 }
 
 fn plant(m: Mistake) -> Plant {
@@ -66,6 +68,7 @@
         Mistake::NoWait => Plant::NoWait,
         Mistake::Unsynced => Plant::Unsynced,
         Mistake::WildClock => Plant::WildClock,
+        Mistake::NoRoster => Plant::NoRoster,
     }
 }
 
@@ -97,7 +100,7 @@
         }
         println!(
             "{} front ends, {} seeds: {} broke; {} versions in force, after {} ms (median), {} ms (99th), {} ms at most; \
-             {:.2}% of the time without a lease; {:.1} messages and {:.0} bytes a front end a second, {:.0} at the seat",
+             {:.2}% of the time without a lease, {:.2}% without a stay; {:.1} messages and {:.0} bytes a front end a second, {:.0} at the seat",
             sum.fronts,
             sum.seeds,
             sum.broken.len(),
@@ -106,6 +109,7 @@
             sum.force_ms[1],
             sum.force_ms[2],
             sum.lapsed * 100.0,
+            sum.stayless * 100.0,
             sum.messages,
             sum.bytes,
             sum.seat_messages,
--- a/model/tests/agree.rs
+++ b/model/tests/agree.rs
@@ -40,6 +40,7 @@
         (Plant::NoWait, 3000),
         (Plant::Unsynced, 20),
         (Plant::WildClock, 300),
+        (Plant::NoRoster, 100),
     ] {
         found(plant, seeds);
     }
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -13,6 +13,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tansy_agree::lease::Time;
+use tansy_agree::list::Line;
 use tansy_agree::log::{Applied, Entry};
 use tansy_agree::rule::Fields;
 use tansy_fleet_wire::letter;
@@ -166,6 +167,11 @@
         f(&self.peer.borrow(), clock::now())
     }
 
+    /// A list of workers was read.
+    pub fn list(self: &Rc<Self>, lines: Vec<Line>) {
+        self.turn(|p, now, out| p.list(now, lines, out));
+    }
+
     /// Tells the others that it leaves, and takes no more connections.
     pub fn leave(self: &Rc<Self>) {
         self.turn(Peer::leave);
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -1,20 +1,21 @@
 //! A gateway in a fleet: what its lease and its stay let it act on, as terms of its ledger.
 
 use crate::Error;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::SystemTime;
 use tansy_agree::lease::{Terms as LeaseTerms, Time};
+use tansy_agree::list::{Line, Standing, Worker as Named};
 use tansy_agree::log::{Phase, Settings as Version, State};
 use tansy_agree::rule::{apart, lapsed, Fields, Rules, Schema, Touch};
 use tansy_front::{Contested, Terms};
-use tansy_net_front::{Hub, Names};
+use tansy_net_front::{Hub, Names, Worker};
 use tansy_net_peers::{Peers, Setup};
 use tansy_net_sockets::Spawner;
 use tansy_peer::{number, Peer};
-use tansy_settings::agree;
+use tansy_settings::{agree, WorkerLine};
 
 /// A lease's part of the time within which no two front ends contradict each other, in tenths.
 const LEASE_TENTHS: i64 = 3;
@@ -54,6 +55,10 @@
     for_about: i64,
     given: RefCell<Option<Given>>,
     ready: RefCell<Option<(u64, Result<Ready, String>)>>,
+    /// The last list that was read.
+    workers: RefCell<Vec<WorkerLine>>,
+    /// The count of changes of what leaves when it was applied last.
+    leavings: Cell<u64>,
 }
 
 /// Takes the gateway's place in its fleet. It acts on nothing before it holds a lease and a stay.
@@ -63,7 +68,7 @@
     listener: TcpListener,
     fleet: &tansy_settings::Fleet,
     place: &Place,
-) -> Result<Rc<Peers>, Error> {
+) -> Result<Member, Error> {
     let schema = agree::agreement();
     let lease = LeaseTerms { span: fleet.within * LEASE_TENTHS / 10, ppm: fleet.clock_ppm };
     let stay = LeaseTerms { span: fleet.stay, ppm: fleet.clock_ppm };
@@ -102,11 +107,46 @@
         for_about: lease.span,
         given: RefCell::new(None),
         ready: RefCell::new(None),
+        workers: RefCell::new(Vec::new()),
+        leavings: Cell::new(0),
     });
     adopter.nothing_yet(&place.first)?;
     let check = Rc::new(|fields: &Fields| agree::check(fields).map_err(|e| e.to_string()));
     let setup = Setup { peer, fleet: fleet.name.clone(), seat: file, via: place.via.clone(), check };
-    Peers::start(spawner, listener, setup, Rc::new(move |peer, now| adopter.acts(peer, now)))
+    let acts = adopter.clone();
+    let peers = Peers::start(spawner, listener, setup, Rc::new(move |peer, now| acts.acts(peer, now)))?;
+    Ok(Member { peers, adopter })
+}
+
+/// A gateway's place in its fleet.
+pub struct Member {
+    peers: Rc<Peers>,
+    adopter: Rc<Adopter>,
+}
+
+impl Member {
+    /// Its links.
+    pub fn peers(&self) -> &Rc<Peers> {
+        &self.peers
+    }
+
+    /// Takes a list of workers: those that leave are told on, and those that anybody told to leave do so here.
+    pub fn list(&self, list: Vec<WorkerLine>) {
+        let lines = list.iter().map(line).collect();
+        *self.adopter.workers.borrow_mut() = list;
+        self.peers.list(lines);
+        self.peers.with_peer(|peer, _| self.adopter.apply(peer));
+    }
+}
+
+fn line(w: &WorkerLine) -> Line {
+    let worker = Named { name: w.listed.name.clone(), address: w.address.to_string() };
+    let standing = match w.listed.state {
+        0 => Standing::Ready,
+        1 => Standing::Draining,
+        _ => Standing::Gone,
+    };
+    Line { worker, incarnation: w.incarnation, standing }
 }
 
 impl Adopter {
@@ -119,6 +159,9 @@
 
     /// Gives the ledger what the front end may act on by now; what is wrong, if it can't act on what it knows.
     fn acts(&self, peer: &Peer, now: Time) -> Option<String> {
+        if peer.leavings() != self.leavings.get() {
+            self.apply(peer);
+        }
         let acting = peer.acting(now);
         let state = acting.state?;
         let step = state.step.0;
@@ -171,6 +214,25 @@
         self.wrong()
     }
 
+    /// Gives the ledger the workers as they stand by the list and by what anybody told.
+    fn apply(&self, peer: &Peer) {
+        self.leavings.set(peer.leavings());
+        let stands = |w: &WorkerLine| {
+            let told = line(w);
+            let mut listed = w.listed.clone();
+            listed.state = match peer.leaving().standing(&told.worker, told.incarnation, told.standing) {
+                Standing::Ready => 0,
+                Standing::Draining => 1,
+                Standing::Gone => 2,
+            };
+            Worker { listed, address: w.address }
+        };
+        let list: Vec<Worker> = self.workers.borrow().iter().map(stands).collect();
+        if !list.is_empty() {
+            self.hub.list(list);
+        }
+    }
+
     fn wrong(&self) -> Option<String> {
         self.ready.borrow().as_ref().and_then(|r| r.1.as_ref().err().cloned())
     }
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -17,7 +17,6 @@
 use tansy_net_front::{clients, side, Hub, Names, Setup, Worker};
 use tansy_net_grpc::link::Limits as LinkLimits;
 use tansy_net_grpc::server::{Limits, Server};
-use tansy_net_peers::Peers;
 use tansy_net_sockets::socket::listen;
 use tansy_net_sockets::Spawner;
 use tansy_settings::{Settings, WorkerLine};
@@ -58,7 +57,7 @@
     server: Rc<Server>,
     grpc: SocketAddr,
     http: SocketAddr,
-    peers: Option<(Rc<Peers>, SocketAddr)>,
+    fleet: Option<(Rc<fleet::Member>, SocketAddr)>,
     drain: i64,
 }
 
@@ -104,28 +103,34 @@
                 let at = fleet.listen;
                 let listener = listen(at, false).map_err(|e| format!("fleet.listen {at}: {e}"))?;
                 let address = listener.local_addr()?;
-                Some((fleet::start(spawner.clone(), hub.clone(), listener, fleet, place)?, address))
+                Some((Rc::new(fleet::start(spawner.clone(), hub.clone(), listener, fleet, place)?), address))
             }
             _ => None,
         };
-        let mut list: Vec<Worker> = workers.into_iter().map(worker).collect();
+        let mut list = workers;
         if options.embedded {
             for n in 0..EMBEDDED_WORKERS {
                 list.push(embedded(&spawner, n, &functions)?);
             }
         }
+        // A fleet hears of workers that leave, and tells what it heard of them.
+        let (told, member) = (hub.clone(), peers.as_ref().map(|p| p.0.clone()));
+        let take: Rc<dyn Fn(Vec<WorkerLine>)> = Rc::new(move |list| match &member {
+            Some(member) => member.list(list),
+            None => told.list(list.into_iter().map(worker).collect()),
+        });
         match &options.workers {
             Some(path) => {
                 let mut watch = ListFile { path: path.clone(), zones, home, seen: None };
                 let fixed = list;
                 // The first reading must succeed: a gateway that starts without workers by a slip serves nobody.
-                hub.list(fixed.iter().cloned().chain(watch.read()?.unwrap_or_default()).collect());
+                take(fixed.iter().cloned().chain(watch.read()?.unwrap_or_default()).collect());
                 let task_hub = hub.clone();
                 spawner.spawn(async move {
                     loop {
                         task_hub.spawner.sleep(LIST_EVERY).await;
                         match watch.read() {
-                            Ok(Some(list)) => task_hub.list(fixed.iter().cloned().chain(list).collect()),
+                            Ok(Some(list)) => take(fixed.iter().cloned().chain(list).collect()),
                             Ok(None) => {}
                             Err(e) => {
                                 tracing::warn!(error = %e, "the list of workers stays as it was");
@@ -135,7 +140,7 @@
                     }
                 });
             }
-            None => hub.list(list),
+            None => take(list),
         }
         let limits = hub.setup.clients;
         let server = Server::start(spawner.clone(), grpc, limits, clients::handler(hub.clone()))?;
@@ -148,7 +153,7 @@
                 tracing::info!(%account, open, "totals");
             }
         });
-        Ok(Gateway { event_loop, hub, server, grpc: grpc_at, http: http_at, peers, drain: g.drain })
+        Ok(Gateway { event_loop, hub, server, grpc: grpc_at, http: http_at, fleet: peers, drain: g.drain })
     }
 
     /// Where the gRPC port is.
@@ -162,7 +167,7 @@
 
     /// Where its siblings reach it, if it is in a fleet.
     pub fn peers(&self) -> Option<SocketAddr> {
-        self.peers.as_ref().map(|p| p.1)
+        self.fleet.as_ref().map(|f| f.1)
     }
 
     /// Serves until SIGTERM or SIGINT, then finishes what is held within the drain time; gives the account's line. `ready`
@@ -185,7 +190,8 @@
         while Instant::now() < end && !(self.hub.with_front(Front::idle) && self.server.connections() == 0) {
             self.turn(Duration::from_millis(20))?;
         }
-        if let Some((peers, _)) = &self.peers {
+        if let Some((member, _)) = &self.fleet {
+            let peers = member.peers();
             // It has ended every call: from here on nobody need wait for it.
             peers.leave();
             let end = Instant::now() + LAST_LETTERS;
@@ -230,7 +236,7 @@
 }
 
 impl ListFile {
-    fn read(&mut self) -> Result<Option<Vec<Worker>>, Error> {
+    fn read(&mut self) -> Result<Option<Vec<WorkerLine>>, Error> {
         let meta = std::fs::metadata(&self.path).map_err(|e| at(&self.path, e))?;
         let seen = Some((meta.modified()?, meta.len()));
         if seen == self.seen {
@@ -240,11 +246,11 @@
         let name = self.path.display().to_string();
         let list = tansy_settings::workers(&name, &text, &self.zones, self.home)?;
         self.seen = seen;
-        Ok(Some(list.into_iter().map(worker).collect()))
+        Ok(Some(list))
     }
 }
 
-fn embedded(spawner: &Spawner, n: usize, functions: &[tansy_front::FunctionSpec]) -> io::Result<Worker> {
+fn embedded(spawner: &Spawner, n: usize, functions: &[tansy_front::FunctionSpec]) -> io::Result<WorkerLine> {
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)), false)?;
     let function = |f: &tansy_front::FunctionSpec| Function {
         name: f.name.clone(),
@@ -270,5 +276,5 @@
     let name = profile.name.clone();
     let standin = Standin::start(spawner.clone(), listener, profile, true)?;
     let listed = tansy_front::Listed { name, kind: 0, cell: 0, zone: 0, state: 0, age: None, share: 1.0 };
-    Ok(Worker { listed, address: standin.address() })
+    Ok(WorkerLine { listed, address: standin.address(), incarnation: 0 })
 }
--- a/protocol/fleet/src/lib.rs
+++ b/protocol/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 use prost::Message as _;
 use std::net::SocketAddr;
 use tansy_agree::lease::{Ask, Grant, Member};
+use tansy_agree::list::{Line, Standing, Worker, LEAVING};
 use tansy_agree::log::{Phase, Settings, State, Step, Version};
 use tansy_agree::member::Message;
 use tansy_agree::rule::{Fields, Value};
@@ -76,9 +77,15 @@
         Body::Lease(Message::Reached { from, at }) => {
             B::Reached(pb::Reached { from: Some(member(from)), at: at.0 })
         }
-        Body::AskStay(a, name) => {
-            B::StayAsk(pb::StayAsk { from: Some(member(a.from)), seq: a.seq, at: a.at.0, name })
+        Body::AskStay(a, name, digest) => {
+            B::StayAsk(pb::StayAsk { from: Some(member(a.from)), seq: a.seq, at: a.at.0, name, digest })
         }
+        Body::Leaving(lines, back) => {
+            // One that is ready is no news to anybody.
+            let leaves = lines.into_iter().filter(|l| l.standing != Standing::Ready);
+            B::Leaving(pb::Leaving { lines: leaves.map(line).collect(), back })
+        }
+        Body::Digest(digest) => B::Digest(digest),
         Body::Gone(m) => B::Gone(member(m)),
         Body::Stay(g) => B::StayGrant(pb::StayGrant { to: Some(member(g.to)), seq: g.seq, span: g.span }),
     };
@@ -114,14 +121,34 @@
         B::Reached(r) => Body::Lease(Message::Reached { from: of_member(r.from)?, at: Step(r.at) }),
         B::StayAsk(a) => {
             let ask = stay::Ask { from: of_member(a.from)?, seq: a.seq, at: Step(a.at) };
-            Body::AskStay(ask, words(a.name, "name")?)
+            Body::AskStay(ask, words(a.name, "name")?, a.digest)
+        }
+        B::Leaving(l) => {
+            if l.lines.len() > LEAVING {
+                return Err(Bad::Part("number of workers"));
+            }
+            let lines = l.lines.into_iter().map(of_line).collect::<Result<_, _>>()?;
+            Body::Leaving(lines, l.back)
         }
+        B::Digest(digest) => Body::Digest(digest),
         B::Gone(m) => Body::Gone(of_member(Some(m))?),
         B::StayGrant(g) => Body::Stay(stay::Grant { to: of_member(g.to)?, seq: g.seq, span: g.span }),
     };
     Ok((from, body))
 }
 
+fn line(l: Line) -> pb::Line {
+    let gone = l.standing == Standing::Gone;
+    pb::Line { name: l.worker.name, address: l.worker.address, incarnation: l.incarnation, gone }
+}
+
+fn of_line(l: pb::Line) -> Result<Line, Bad> {
+    let worker =
+        Worker { name: words(l.name, "worker's name")?, address: words(l.address, "worker's address")? };
+    let standing = if l.gone { Standing::Gone } else { Standing::Draining };
+    Ok(Line { worker, incarnation: l.incarnation, standing })
+}
+
 fn words(text: String, what: &'static str) -> Result<String, Bad> {
     if text.len() > WORDS {
         Err(Bad::Part(what))
--- a/protocol/fleet/tests/letters.rs
+++ b/protocol/fleet/tests/letters.rs
@@ -1,6 +1,7 @@
 //! Letters come back as they were written; what was not written by us is turned away with a reason and harms nothing.
 
 use tansy_agree::lease::{Ask, Grant, Member};
+use tansy_agree::list::{Line, Standing, Worker};
 use tansy_agree::log::{Phase, Settings, State, Step, Version};
 use tansy_agree::member::Message;
 use tansy_agree::rule::Value;
@@ -37,12 +38,19 @@
         Body::Lease(Message::Grant(grant(Some(state())))),
         Body::Lease(Message::Step(Step(4))),
         Body::Lease(Message::Reached { from: m, at: Step(5) }),
-        Body::AskStay(stay::Ask { from: m, seq: 6, at: Step(7) }, "front-1".into()),
+        Body::AskStay(stay::Ask { from: m, seq: 6, at: Step(7) }, "front-1".into(), 99),
         Body::Stay(stay::Grant { to: m, seq: 8, span: 1 }),
         Body::Gone(m),
+        Body::Leaving(vec![line(Standing::Draining), line(Standing::Gone)], true),
+        Body::Digest(u64::MAX),
     ]
 }
 
+fn line(standing: Standing) -> Line {
+    let worker = Worker { name: "w".into(), address: "10.0.0.1:80".into() };
+    Line { worker, incarnation: 7, standing }
+}
+
 fn sender() -> Name {
     Name { id: 5, incarnation: 6, life: 7, address: "[::1]:7001".parse().expect("an address") }
 }
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -45,6 +45,8 @@
     pub listed: tansy_front::Listed,
     /// Where it is.
     pub address: SocketAddr,
+    /// Which process of it; a later one is larger.
+    pub incarnation: u64,
 }
 
 /// A front end that keeps the agreed log.
@@ -289,7 +291,8 @@
             age: f.int("started"),
             share: f.number("share")?,
         };
-        out.push(WorkerLine { listed, address });
+        let incarnation = u64::try_from(f.int("incarnation")?).ok()?;
+        out.push(WorkerLine { listed, address, incarnation });
     }
     Some(out)
 }
--- a/settings/src/schema.cue
+++ b/settings/src/schema.cue
@@ -32,6 +32,7 @@
     kind:     int & >=0 & <=1000000 | *0
     cell:     int & >=0 | *0
     state:    *"ready" | "draining" | "gone"
+    incarnation: int & >=0 | *0              // which process of it: a later one is larger
     started?: duration & >=0s                // how long ago; left out: long ago
     share:    number & >0 | *1               // to compare its size with others'
 }
