--- a/decide/peer/src/lists.rs
+++ b/decide/peer/src/lists.rs
@@ -62,7 +62,7 @@
         }
         self.changed();
         let others: Vec<&Name> = others.collect();
-        for to in self.rng.choose_multiple(others.into_iter(), TELLS) {
+        for to in self.rng.choose_multiple(others, TELLS) {
             out.push(Command::Send { to: to.address, body: Body::Leaving(new.clone(), false) });
         }
     }
--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -192,7 +192,7 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Letter { to: usize, from: Name, body: Body },
+    Letter { to: usize, letter: Box<(Name, Body)> },
     Tick { who: usize, incarnation: u64 },
     Start { who: usize },
     Stop { who: usize },
@@ -394,7 +394,8 @@
                 let p = &mut self.all[who];
                 p.stopped = p.stopped.take().or(Some(Vec::new())).filter(|_| p.peer.is_some());
             }
-            Event::Letter { to, from, body } => {
+            Event::Letter { to, letter } => {
+                let (from, body) = *letter;
                 if let Some(held) = &mut self.all[to].stopped {
                     // What the kernel holds for a stopped process is bounded.
                     if held.len() < 64 {
@@ -599,7 +600,8 @@
             self.sent_bytes += size(&body) as u64;
             self.sent_seat += u64::from(to == 0 || who == 0);
             for at in self.net.carry(&mut self.rng, self.now, who, to) {
-                self.plan(at, Event::Letter { to, from: from.clone(), body: body.clone() });
+                let letter = Box::new((from.clone(), body.clone()));
+                self.plan(at, Event::Letter { to, letter });
             }
         }
     }
--- a/programs/day/src/agree.rs
+++ b/programs/day/src/agree.rs
@@ -29,6 +29,8 @@
 /// Time after the last round for all to agree again, seconds.
 const CALM: f64 = 3.0;
 const WORKERS: usize = 6;
+/// How often it is looked at who must have heard of a drain.
+const LOOK: Duration = Duration::from_millis(50);
 /// Witness calls a second to each front end.
 const WITNESS_RATE: u64 = 20;
 /// Of a call's time, a front end keeps back this part at most for the answer's way, and for its own.
@@ -86,6 +88,10 @@
     Stop(usize),
     Wake(usize),
     Hold(usize, usize, bool),
+    /// One front end's list, and no other's, says that a worker drains.
+    Drain(usize, usize),
+    /// All lists say that it takes work again, as another process.
+    Back(usize),
 }
 
 /// The day's script: what happens when, in seconds.
@@ -143,6 +149,12 @@
             }
         }
     }
+    // Each round one front end hears of a drain that no other's list ever tells of; a round later the worker is back.
+    for round in 0..play.rounds {
+        let (worker, by) = (round % (WORKERS - 2), rng.usize(0..play.fronts));
+        let at = round as f64 * ROUND;
+        all.extend([(at + 0.3, Step::Drain(by, worker)), (at + ROUND - 0.1, Step::Back(worker))]);
+    }
     all.sort_by(|a, b| a.0.total_cmp(&b.0));
     all
 }
@@ -186,6 +198,14 @@
     outsider: Option<usize>,
     logs: Option<PathBuf>,
     killed: usize,
+    /// By front end and worker: where it is reached, its process, and whether it drains.
+    lists: Vec<Vec<(SocketAddr, u64, bool)>>,
+    /// Front ends that were killed or stopped, or whose links were touched, and when: what they hear may be late.
+    touched: BTreeMap<usize, Instant>,
+    stopped: BTreeSet<usize>,
+    /// Workers that drain, and since when; and which of it is marked for whom.
+    drains: Vec<(usize, Instant)>,
+    marked: BTreeSet<(usize, usize)>,
 }
 
 impl Fleet {
@@ -215,6 +235,11 @@
             outsider: play.outsider.then(|| play.fronts - 1),
             logs: play.logs.clone(),
             killed: 0,
+            lists: Vec::new(),
+            touched: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            drains: Vec::new(),
+            marked: BTreeSet::new(),
         };
         for n in 0..WORKERS {
             let file = fleet.folder.join("alone.cue").display().to_string();
@@ -224,18 +249,18 @@
             fleet.workers.push(w);
         }
         for from in 0..play.fronts {
-            let mut lines = Vec::new();
+            let (mut list, mut vias) = (Vec::new(), Vec::new());
             for worker in 0..WORKERS {
                 let target = fleet.workers[worker].address("grpc")?;
                 let link = Link::Worker { front: from, worker };
                 let at = fleet.middle.with(move |r| r.route(link, target))??;
-                let zone = if worker < WORKERS / 2 { "room-a" } else { "room-b" };
-                lines.push(format!("    {{name: \"w{worker}\", address: \"{at}\", zone: \"{zone}\"}}"));
+                // One of no fleet has no way round; the others' lists tell where a worker is, the same to all.
+                let outside = fleet.outsider == Some(from);
+                list.push((if outside { at } else { target }, 0, false));
+                vias.push(format!("{target}={at}"));
             }
-            let list = format!("workers: [\n{}\n]\n", lines.join("\n"));
-            std::fs::File::create(fleet.folder.join(format!("list-{from}.cue")))?
-                .write_all(list.as_bytes())?;
-            let mut vias = Vec::new();
+            fleet.lists.push(list);
+            fleet.write_list(from)?;
             for to in (0..play.fronts).filter(|to| *to != from) {
                 let target = fleet.peers[to];
                 let at = fleet.middle.with(move |r| r.route(Link::Peer { from, to }, target))??;
@@ -255,6 +280,23 @@
         Ok(fleet)
     }
 
+    /// A front end's list.
+    fn write_list(&self, front: usize) -> Result<(), Error> {
+        let line = |(n, (at, incarnation, drains)): (usize, &(SocketAddr, u64, bool))| {
+            let zone = if n < WORKERS / 2 { "room-a" } else { "room-b" };
+            let state = if *drains { "draining" } else { "ready" };
+            format!(
+                "    {{name: \"w{n}\", address: \"{at}\", zone: \"{zone}\", state: \"{state}\", incarnation: {incarnation}}}"
+            )
+        };
+        let lines: Vec<String> = self.lists[front].iter().enumerate().map(line).collect();
+        let (file, fresh) =
+            (self.folder.join(format!("list-{front}.cue")), self.folder.join(format!("new-{front}")));
+        std::fs::File::create(&fresh)?
+            .write_all(format!("workers: [\n{}\n]\n", lines.join("\n")).as_bytes())?;
+        Ok(std::fs::rename(fresh, file)?)
+    }
+
     fn gateway(&self, front: usize, grpc: SocketAddr, http: SocketAddr) -> Result<Process, Error> {
         let path = |name: String| self.folder.join(name).display().to_string();
         let outside = self.outsider == Some(front);
@@ -311,6 +353,7 @@
                 if let Some(mut g) = self.gateways[front].take() {
                     g.kill();
                     self.killed += 1;
+                    self.stopped.remove(&front);
                     self.mark(Mark::Killed { front })?;
                 }
             }
@@ -318,11 +361,13 @@
                 if self.gateways[front].is_none() {
                     let (grpc, http) = self.ports[front];
                     self.gateways[front] = Some(self.gateway(front, grpc, http)?);
+                    self.touched.insert(front, Instant::now());
                 }
             }
             Step::Stop(front) => {
                 if let Some(g) = &self.gateways[front] {
                     g.signal(Signal::STOP)?;
+                    self.stopped.insert(front);
                     self.mark(Mark::Stopped { front })?;
                 }
             }
@@ -331,12 +376,50 @@
                     // Before it can do anything: what it decides from here on it decides awake.
                     self.mark(Mark::Woken { front })?;
                     g.signal(Signal::CONT)?;
+                    self.stopped.remove(&front);
+                    self.touched.insert(front, Instant::now());
+                }
+            }
+            Step::Hold(from, to, held) => {
+                self.touched.extend([(from, Instant::now()), (to, Instant::now())]);
+                self.middle.with(move |r| r.hold(Link::Peer { from, to }, held))?;
+            }
+            Step::Drain(front, worker) => {
+                self.lists[front][worker].2 = true;
+                self.write_list(front)?;
+                self.mark(Mark::Leaves { front, worker })?;
+                self.drains.push((worker, Instant::now()));
+            }
+            Step::Back(worker) => {
+                self.drains.retain(|d| d.0 != worker);
+                for front in 0..self.lists.len() {
+                    let (at, incarnation, _) = self.lists[front][worker];
+                    self.lists[front][worker] = (at, incarnation + 1, false);
+                    self.write_list(front)?;
+                    self.mark(Mark::Returns { front, worker })?;
                 }
             }
-            Step::Hold(from, to, held) => self.middle.with(move |r| r.hold(Link::Peer { from, to }, held))?,
         }
         Ok(())
     }
+
+    /// Marks drains for those front ends that must have heard of them by now: they have had the time, undisturbed.
+    fn heard(&mut self) -> Result<(), Error> {
+        let now = Instant::now();
+        let mut marks = Vec::new();
+        for (worker, told) in &self.drains {
+            for front in (0..self.gateways.len()).filter(|f| self.outsider != Some(*f)) {
+                let since = self.touched.get(&front).copied().unwrap_or(*told).max(*told);
+                let runs = self.gateways[front].is_some() && !self.stopped.contains(&front);
+                if runs && now - since >= BOUND && self.marked.insert((*worker, front)) {
+                    marks.push(Mark::Leaves { front, worker: *worker });
+                }
+            }
+        }
+        let drains = &self.drains;
+        self.marked.retain(|(worker, _)| drains.iter().any(|d| d.0 == *worker));
+        marks.into_iter().try_for_each(|m| self.mark(m))
+    }
 }
 
 /// What the operator saw of a proposal.
@@ -445,7 +528,14 @@
     let mut next = 1;
     for (at, step) in script(play) {
         let due = began + Duration::from_secs_f64(at);
-        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        loop {
+            fleet.heard()?;
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            std::thread::sleep(left.min(LOOK));
+        }
         if step == Step::Propose && play.changes {
             let text = text(play, fleet.peers[0], all[next]);
             order.send(fields_of("day.cue", &text)?).map_err(|_| "the operator ended early")?;
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -61,7 +61,7 @@
     /// The file in which a seat keeps the agreed log; goes before the settings.
     #[arg(long)]
     state: Option<PathBuf>,
-    /// Reach the sibling at the first address through the second, as `127.0.0.1:7001=127.0.0.1:9001`.
+    /// Reach the sibling or worker at the first address through the second, as `127.0.0.1:7001=127.0.0.1:9001`.
     #[arg(long, hide = true, value_parser = pair)]
     via: Vec<(SocketAddr, SocketAddr)>,
     /// Check the settings, say what they hold, and end.
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -27,7 +27,7 @@
     pub own: Fields,
     /// The version that a fleet which begins has first: what stands in its file.
     pub first: Fields,
-    /// Front ends that are reached through another address than their own.
+    /// Front ends and workers that are reached through another address than their own.
     pub via: HashMap<SocketAddr, SocketAddr>,
 }
 
@@ -55,6 +55,8 @@
     for_about: i64,
     given: RefCell<Option<Given>>,
     ready: RefCell<Option<(u64, Result<Ready, String>)>>,
+    /// Whoever is reached through another address than its own.
+    via: HashMap<SocketAddr, SocketAddr>,
     /// The last list that was read.
     workers: RefCell<Vec<WorkerLine>>,
     /// The count of changes of what leaves when it was applied last.
@@ -107,6 +109,7 @@
         for_about: lease.span,
         given: RefCell::new(None),
         ready: RefCell::new(None),
+        via: place.via.clone(),
         workers: RefCell::new(Vec::new()),
         leavings: Cell::new(0),
     });
@@ -225,7 +228,7 @@
                 Standing::Draining => 1,
                 Standing::Gone => 2,
             };
-            Worker { listed, address: w.address }
+            Worker { listed, address: self.via.get(&w.address).copied().unwrap_or(w.address) }
         };
         let list: Vec<Worker> = self.workers.borrow().iter().map(stands).collect();
         if !list.is_empty() {
