--- a/standins/audit/src/lib.rs
+++ b/standins/audit/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! - [`record`]: what a relay writes down.
 //! - [`wire`]: bytes to streams with headers, messages and ends.
-//! - [`judge`]: streams to calls, attempts, and breaches.
-//! - [`versions`]: whether two front ends acted on rules that contradict each other, by rules that show in the bytes.
+//! - [`mod@judge`]: streams to calls, attempts, and breaches.
+//! - [`mod@versions`]: whether two front ends acted on rules that contradict each other, by rules that show in the bytes.
 
 pub mod judge;
 pub mod record;
