--- a/benches/cost/src/main.rs
+++ b/benches/cost/src/main.rs
@@ -4,6 +4,7 @@
 //! Every part is a process of its own; the gateway and the proxy have one thread each. The worker answers at once.
 
 mod client;
+mod fleet;
 mod grown;
 mod proxy;
 mod worker;
@@ -65,6 +66,15 @@
         #[arg(long, default_value_t = 10_000)]
         clients: usize,
     },
+    /// What a place in a fleet costs a call, and its memory, beside the same gateway without.
+    Fleet {
+        /// Front ends of the fleet, the measured one and the seat among them.
+        #[arg(long, default_value_t = 20)]
+        members: usize,
+        /// Measurements of each, in turn.
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
     /// Only the load, on a gRPC port that serves already.
     Load {
         target: SocketAddr,
@@ -129,6 +139,7 @@
         }
         Some(Role::Growth { calls }) => grown::growth(&a, calls),
         Some(Role::Waiting) => grown::waiting(&a),
+        Some(Role::Fleet { members, rounds }) => fleet::run(&a, members, rounds),
         Some(Role::Slow { clients }) => grown::slow(&a, clients),
         Some(Role::Proxy { workers }) => proxy::run(workers),
         Some(Role::Load { target, open, seconds }) => {
--- a/programs/day/src/agree.rs
+++ b/programs/day/src/agree.rs
@@ -109,7 +109,7 @@
         match (round + play.seed as usize) % 5 {
             // Those that were not killed yet come first, so that each is in time.
             0 | 1 => {
-                let many = if round % 2 == 0 { play.fronts * 7 / 10 } else { 1 };
+                let many = if round % 2 == 0 { (play.fronts * 7).div_ceil(10) } else { 1 };
                 for _ in 0..many.max(1) {
                     let who = unkilled.pop().unwrap_or_else(|| rng.usize(0..play.fronts));
                     let (at, back) = (at + rng.f64() * 0.2, rng.f64() * 0.5);
--- a/programs/day/src/main.rs
+++ b/programs/day/src/main.rs
@@ -48,6 +48,9 @@
     /// `agree`: the last front end is of no fleet, a mistake that has to be found.
     #[arg(long)]
     outsider: bool,
+    /// `agree`: leave out the same day without changes.
+    #[arg(long)]
+    no_plain: bool,
     /// `agree`: keep each front end's logs in this directory, and tell each step.
     #[arg(long)]
     logs: Option<std::path::PathBuf>,
@@ -110,7 +113,7 @@
     bound_ms: u128,
     contradiction_ms: f64,
     served: f64,
-    served_plain: f64,
+    served_plain: Option<f64>,
     breaches: usize,
     in_force: usize,
     not_in_force: usize,
@@ -136,7 +139,8 @@
         logs: a.logs.clone(),
     };
     let plain = tansy_day::agree::Play { changes: false, logs: None, ..play.clone() };
-    let days = tansy_day::agree::play(&play).and_then(|d| Ok((d, tansy_day::agree::play(&plain)?)));
+    let other = || if a.no_plain { Ok(None) } else { tansy_day::agree::play(&plain).map(Some) };
+    let days = tansy_day::agree::play(&play).and_then(|d| Ok((d, other()?)));
     let (day, plain) = match days {
         Ok(days) => days,
         Err(e) => {
@@ -144,7 +148,7 @@
             return ExitCode::from(1);
         }
     };
-    let all: Vec<&String> = day.breaches.iter().chain(&plain.breaches).collect();
+    let all: Vec<&String> = day.breaches.iter().chain(plain.iter().flat_map(|p| &p.breaches)).collect();
     all.iter().take(a.show).for_each(|b| println!("breach: {b}"));
     // A day on which nothing changed, or whose witnesses showed nothing, shows nothing.
     let ok = all.is_empty() && day.in_force > 0 && day.shown > 0;
@@ -155,7 +159,7 @@
         bound_ms: tansy_day::agree::BOUND.as_millis(),
         contradiction_ms: day.strict_ms.max(day.joint_ms),
         served: day.served,
-        served_plain: plain.served,
+        served_plain: plain.as_ref().map(|p| p.served),
         breaches: all.len(),
         in_force: day.in_force,
         not_in_force: day.not,
@@ -170,10 +174,8 @@
             "changes: in force {} not {} ({:?} ms); contradiction {:.1} ms of {} allowed, shown by {} calls",
             line.in_force, line.not_in_force, line.force_ms, line.contradiction_ms, line.bound_ms, line.shown
         );
-        println!(
-            "served {:.4}, without changes {:.4}; killed {}",
-            line.served, line.served_plain, line.killed
-        );
+        let plain = line.served_plain.map_or(String::new(), |p| format!(", without changes {p:.4}"));
+        println!("served {:.4}{plain}; killed {}", line.served, line.killed);
         println!("verdict: {}", if ok { "no rule broken".into() } else { format!("{} breaches", all.len()) });
     }
     ExitCode::from(if ok { 0 } else { 3 })
--- a/programs/day/tests/day.rs
+++ b/programs/day/tests/day.rs
@@ -42,3 +42,27 @@
     assert!(count(&text, "sockets:", "loads") > 30, "{text}");
     assert!(count(&text, "sockets:", "served") > 1400, "{text}");
 }
+
+/// A short day of versions: kills of all, a stop, links held; the last line of its output.
+fn agree(more: &[&str]) -> (Option<i32>, serde_json::Value, String) {
+    let day_of = ["--scenario", "agree", "--front-ends", "4", "--rate", "60", "--no-plain", "--json"];
+    let (code, text) = day(&[&day_of[..], more].concat());
+    let line = text.lines().rfind(|l| l.starts_with('{')).unwrap_or_else(|| panic!("no line in {text}"));
+    (code, serde_json::from_str(line).expect("JSON"), text)
+}
+
+#[test]
+fn front_ends_agree_on_versions_while_each_of_them_is_killed() {
+    let (code, line, text) = agree(&["--rounds", "3", "--seed", "5"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(line["ok"] == true && line["breaches"] == 0, "{text}");
+    assert!(line["killed"].as_u64() >= Some(4), "every process is killed at least once: {text}");
+    assert!(line["in_force"].as_u64() >= Some(2) && line["shown"].as_u64() > Some(300), "{text}");
+}
+
+#[test]
+fn a_front_end_that_acts_on_its_own_file_is_found() {
+    let (code, line, text) = agree(&["--rounds", "3", "--seed", "3", "--outsider"]);
+    assert_eq!(code, Some(3), "{text}");
+    assert!(line["contradiction_ms"].as_f64() > Some(2000.0), "{text}");
+}
