Seats: the agreed log by raft over one, three, five or seven front ends

Need: one seat's loss stops every change. Change: tansy-seats wraps raft's RawNode without I/O: messages and records in our own form (the library's protobuf parses nothing), what contradicts the log turned away before it could end the process, election time-outs by our own random numbers, the right of a root (until a lease after a round that a quorum answered, and only after an entry of its own term is applied). Not in the peer yet.

--- /dev/null
+++ b/decide/seats/tests/seats.rs
@@ -0,0 +1,345 @@
+//! Seats in virtual time, each with a disk: what is agreed on is one order, whoever is killed, cut off or loses what was
+//! not synced; and there is somebody with the right again once most are there.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use tansy_agree::lease::Terms;
+use tansy_agree::log::{Entry, Version};
+use tansy_agree::rule::{Fields, Value};
+use tansy_seats::{Out, Saved, Seats, Setup};
+
+const SECOND: i64 = 1_000_000;
+
+fn fields(n: i64) -> Fields {
+    [("worker.max_attempts".to_string(), Value::Int(n))].into()
+}
+
+#[derive(Default)]
+struct Disk {
+    saved: Saved,
+    /// Written, and not synced yet: each with the whole that takes the place of all.
+    written: Vec<(Vec<u8>, Option<Vec<u8>>)>,
+}
+
+impl Disk {
+    fn sync(&mut self) {
+        let (record, whole) = self.written.remove(0);
+        match whole {
+            Some(whole) => self.saved = Saved { whole: Some(whole), records: Vec::new() },
+            None => self.saved.records.push(record),
+        }
+    }
+}
+
+enum Event {
+    Letter(usize, Vec<u8>),
+    Synced(usize, u64),
+}
+
+struct Group {
+    now: i64,
+    rng: fastrand::Rng,
+    all: Vec<Option<Seats>>,
+    lives: Vec<u64>,
+    disks: Vec<Disk>,
+    queue: BinaryHeap<Reverse<(i64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    count: u64,
+    cut: BTreeSet<(usize, usize)>,
+    /// What was applied at each place of the order, by whoever applied it first.
+    order: BTreeMap<u64, String>,
+    /// Told before it is synced: a mistake.
+    unsynced: bool,
+    forked: bool,
+}
+
+impl Group {
+    fn new(size: usize, seed: u64) -> Group {
+        let mut g = Group {
+            now: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            all: Vec::new(),
+            lives: vec![0; size],
+            disks: Vec::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            count: 0,
+            cut: BTreeSet::new(),
+            order: BTreeMap::new(),
+            unsynced: false,
+            forked: false,
+        };
+        g.all.resize_with(size, || None);
+        g.disks.resize_with(size, Disk::default);
+        (0..size).for_each(|n| g.start(n));
+        g
+    }
+
+    fn start(&mut self, n: usize) {
+        self.lives[n] += 1;
+        let setup = Setup {
+            me: n as u64 + 1,
+            incarnation: self.lives[n],
+            seats: (1..=self.all.len() as u64).collect(),
+            terms: Terms { span: SECOND * 6 / 10, ppm: 1000 },
+            first: fields(n as i64),
+            seed: self.rng.u64(..),
+        };
+        self.all[n] = Some(Seats::new(setup, &self.disks[n].saved, self.now).expect("what it held"));
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.all[n] = None;
+        // Of what was not synced a part may be there.
+        let kept = self.rng.usize(0..=self.disks[n].written.len());
+        (0..kept).for_each(|_| self.disks[n].sync());
+        self.disks[n].written.clear();
+    }
+
+    fn plan(&mut self, after: i64, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((self.now + after, self.count)));
+        self.events.insert(self.count, event);
+    }
+
+    fn act(&mut self, n: usize, act: impl FnOnce(&mut Seats, i64, &mut Vec<Out>)) {
+        let mut out = Vec::new();
+        let Some(seat) = &mut self.all[n] else { return };
+        act(seat, self.now, &mut out);
+        let mut at = 0;
+        while at < out.len() {
+            match out[at].clone() {
+                Out::Send { to, bytes } => {
+                    let to = to as usize - 1;
+                    if !self.cut.contains(&(n, to)) && self.rng.u32(0..50) > 0 {
+                        let late = self.rng.i64(200..20_000);
+                        self.plan(late, Event::Letter(to, bytes));
+                    }
+                }
+                Out::Hold { record, whole } => {
+                    self.disks[n].written.push((record, whole));
+                    let late = self.rng.i64(500..10_000);
+                    self.plan(late, Event::Synced(n, self.lives[n]));
+                    if self.unsynced {
+                        let seat = self.all[n].as_mut().expect("it runs");
+                        seat.held(self.now, true, &mut out);
+                    }
+                }
+                Out::Applied { .. } => {}
+            }
+            at += 1;
+        }
+        let seat = self.all[n].as_ref().expect("it runs");
+        if let Some(log) = seat.log() {
+            let here = format!("{:?}", log.state());
+            let first = self.order.entry(seat.applied()).or_insert_with(|| here.clone());
+            self.forked |= *first != here;
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let until = self.now + (seconds * SECOND as f64) as i64;
+        while self.now < until {
+            let tick = self.all.iter().flatten().map(Seats::next).min().unwrap_or(until);
+            let next = self.queue.peek().map_or(until, |e| e.0 .0);
+            self.now = tick.min(next).min(until).max(self.now);
+            while let Some(Reverse((_, id))) = self.queue.peek().copied().filter(|e| e.0 .0 <= self.now) {
+                self.queue.pop();
+                match self.events.remove(&id).expect("an event") {
+                    Event::Letter(to, bytes) => self.act(to, |s, now, out| s.hear(now, &bytes, out)),
+                    Event::Synced(n, life) => {
+                        if self.lives[n] == life && self.all[n].is_some() {
+                            self.disks[n].sync();
+                            if !self.unsynced {
+                                self.act(n, |s, now, out| s.held(now, true, out));
+                            }
+                        }
+                    }
+                }
+            }
+            for n in 0..self.all.len() {
+                if self.all[n].as_ref().is_some_and(|s| s.next() <= self.now) {
+                    self.act(n, Seats::tick);
+                }
+            }
+        }
+    }
+
+    fn root(&self) -> Option<usize> {
+        self.all.iter().position(|s| s.as_ref().is_some_and(|s| s.right(self.now).is_some()))
+    }
+
+    fn propose(&mut self, n: i64) {
+        let Some(root) = self.root() else { return };
+        let state = self.all[root].as_ref().and_then(Seats::log).expect("a log").state().clone();
+        let entry = match state.next {
+            Some(_) => Entry::Advance { from: state.step },
+            None => {
+                Entry::Propose { id: 0, base: state.latest(), fields: fields(1000 + n), why: String::new() }
+            }
+        };
+        self.act(root, |s, now, out| {
+            s.propose(now, entry, out);
+        });
+    }
+}
+
+#[test]
+fn one_seat_is_its_own_root_at_once_and_goes_on_from_its_disk() {
+    let mut g = Group::new(1, 1);
+    g.run(0.5);
+    assert_eq!(g.root(), Some(0));
+    for n in 0..900 {
+        g.propose(n);
+        g.run(0.02);
+    }
+    let before = g.all[0].as_ref().and_then(Seats::log).expect("a log").state().clone();
+    assert!(before.force.version > Version(200), "{:?}", before.force.version);
+    assert!(g.disks[0].saved.whole.is_some(), "the whole takes the place of records");
+    g.kill(0);
+    g.start(0);
+    g.run(0.5);
+    let log = g.all[0].as_ref().and_then(Seats::log).expect("a log");
+    assert_eq!(log.state(), &before);
+    assert_eq!(g.root(), Some(0));
+}
+
+#[test]
+fn whoever_is_cut_off_loses_the_right_and_another_has_it() {
+    let mut g = Group::new(3, 2);
+    g.run(3.0);
+    let first = g.root().expect("a root");
+    for n in 0..3 {
+        if n != first {
+            g.cut.extend([(n, first), (first, n)]);
+        }
+    }
+    g.run(0.7);
+    assert!(
+        g.all[first].as_ref().is_some_and(|s| s.right(g.now).is_none()),
+        "its right is out after a lease"
+    );
+    g.run(3.0);
+    let second = g.root().expect("another root");
+    assert_ne!(first, second);
+    for n in 0..10 {
+        g.propose(n);
+        g.run(0.1);
+    }
+    g.cut.clear();
+    g.run(3.0);
+    let state = |n: usize| g.all[n].as_ref().and_then(Seats::log).map(|l| l.state().clone());
+    assert_eq!(state(first), state(second));
+}
+
+#[test]
+fn most_killed_at_once_and_back_one_by_one_have_one_order() {
+    for seed in 0..60 {
+        let size = [3, 5, 7][seed as usize % 3];
+        let mut g = Group::new(size, seed);
+        g.run(3.0);
+        for round in 0..6 {
+            for n in 0..g.rng.i64(1..6) {
+                g.propose(round * 10 + n);
+                g.run(0.03);
+            }
+            match g.rng.u32(0..3) {
+                0 => {
+                    let dead: Vec<usize> = (0..size).filter(|_| g.rng.bool()).collect();
+                    dead.iter().for_each(|n| g.kill(*n));
+                    for n in dead {
+                        let wait = g.rng.f64();
+                        g.run(wait);
+                        g.start(n);
+                    }
+                }
+                1 => {
+                    let (a, b) = (g.rng.usize(0..size), g.rng.usize(0..size));
+                    g.cut.extend([(a, b)]);
+                    let wait = g.rng.f64() * 3.0;
+                    g.run(wait);
+                    g.cut.clear();
+                }
+                _ => {
+                    let side: Vec<usize> = (0..size).filter(|_| g.rng.bool()).collect();
+                    for a in 0..size {
+                        let other = |b: &usize| side.contains(&a) != side.contains(b);
+                        g.cut.extend((0..size).filter(other).map(|b| (a, b)));
+                    }
+                    let wait = g.rng.f64() * 3.0;
+                    g.run(wait);
+                    g.cut.clear();
+                }
+            }
+        }
+        g.run(6.0);
+        assert!(!g.forked, "seed {seed}: two orders");
+        assert!(g.root().is_some(), "seed {seed}: nobody has the right");
+        let states: BTreeSet<String> =
+            g.all.iter().flatten().map(|s| format!("{:?}", s.log().map(|l| l.state()))).collect();
+        assert_eq!(states.len(), 1, "seed {seed}: {states:?}");
+    }
+}
+
+#[test]
+fn a_seat_that_tells_what_its_disk_does_not_hold_is_found() {
+    let forked = (0..300).any(|seed| {
+        let mut g = Group::new(3, seed);
+        g.unsynced = true;
+        g.run(2.0);
+        for n in 0..30 {
+            g.propose(n);
+            g.run(0.02);
+            if n % 5 == 4 {
+                let dead: Vec<usize> = (0..3).filter(|_| g.rng.u32(0..3) > 0).collect();
+                dead.iter().for_each(|n| g.kill(*n));
+                dead.iter().for_each(|n| g.start(*n));
+                let wait = 1.0 + g.rng.f64();
+                g.run(wait);
+            }
+        }
+        g.forked
+    });
+    assert!(forked);
+}
+
+#[test]
+fn a_disk_that_fails_takes_a_seat_out_and_no_more() {
+    let mut g = Group::new(3, 9);
+    g.run(3.0);
+    let root = g.root().expect("a root");
+    g.act(root, |s, now, out| s.held(now, false, out));
+    assert!(g.all[root].as_ref().is_some_and(Seats::broken));
+    g.run(5.0);
+    assert!(g.root().is_some_and(|r| r != root), "the others go on");
+}
+
+#[test]
+fn no_bytes_end_a_seat() {
+    let mut g = Group::new(3, 5);
+    g.run(2.0);
+    let mut letters = Vec::new();
+    for _ in 0..400 {
+        g.propose(1);
+        g.run(0.01);
+        letters.extend(g.events.values().filter_map(|e| match e {
+            Event::Letter(to, bytes) => Some((*to, bytes.clone())),
+            Event::Synced(..) => None,
+        }));
+    }
+    assert!(letters.len() > 300, "{}", letters.len());
+    for n in 0..60_000 {
+        let (to, mut bytes) = letters[n % letters.len()].clone();
+        for _ in 0..g.rng.usize(1..4) {
+            let at = g.rng.usize(0..bytes.len());
+            match g.rng.u32(0..3) {
+                0 => bytes.truncate(at.max(1)),
+                1 => bytes.insert(at, g.rng.u8(..)),
+                _ => bytes[at] = g.rng.u8(..),
+            }
+        }
+        g.act(to, |s, now, out| s.hear(now, &bytes, out));
+        g.queue.clear();
+        g.events.clear();
+    }
+}
