--- a/decide/agree/src/lease.rs
+++ b/decide/agree/src/lease.rs
@@ -120,6 +120,11 @@
         Holder { terms, me, seq: 0, asks: VecDeque::new(), state: None, until: None }
     }
 
+    /// The same, knowing this from before; it holds no lease for it.
+    pub fn knowing(terms: Terms, me: Member, state: S) -> Holder<S> {
+        Holder { state: Some(state), ..Holder::new(terms, me) }
+    }
+
     /// What it knows last, acted on or not.
     pub fn known(&self) -> Option<&S> {
         self.state.as_ref()
--- a/decide/agree/src/member.rs
+++ b/decide/agree/src/member.rs
@@ -105,6 +105,20 @@
         Front::with(terms, me, view, right, None, now)
     }
 
+    /// One that was the root until now and knows this; leases that it lent are out with its right, which whoever is the
+    /// root next waits for.
+    pub fn knowing(terms: Terms, me: Member, view: View, state: S, now: Time) -> Front<S> {
+        let right = Right::Lent { holder: Holder::knowing(terms, me, state), choice: 0, unanswered: 0 };
+        Front::with(terms, me, view, right, None, now)
+    }
+
+    /// The seat's right lasts for longer.
+    pub fn extend(&mut self, to: Time) {
+        if let Right::Seat { until, .. } = &mut self.right {
+            *until = to.max(*until);
+        }
+    }
+
     /// The seat, with what its log says. It takes no step that changes rules before all that an earlier process of it may
     /// have granted is out.
     pub fn seat(terms: Terms, me: Member, view: View, state: S, until: Time, now: Time) -> Front<S> {
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -19,9 +19,10 @@
 use tansy_agree::list::{Leaving, Line};
 use tansy_agree::log::{Applied, Entry, Log, State, Step};
 use tansy_agree::member::{Front, Message};
-use tansy_agree::rule::{Kind, Schema};
+use tansy_agree::rule::{Fields, Kind, Schema};
 use tansy_agree::stay::{self, Stay};
 use tansy_members::{Members, Name, News, Pace, Stranger};
+use tansy_seats::{Saved, Seats, Unreadable};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two tries to find the fleet, and between two asks for a first stay.
@@ -32,6 +33,8 @@
 const STAY_MOST: Time = 30_000_000;
 /// And while a change of strict fields goes on, which waits for what the ask tells, in case that was lost.
 const STAY_AWAITED: Time = 1_000_000;
+/// Asks for a stay after which other seats are asked than the one that leads.
+const UNANSWERED: usize = 3;
 /// Addresses that are remembered of those who wrote and are not known as members yet.
 const HEARD: usize = 1024;
 
@@ -49,8 +52,8 @@
     pub name: String,
     /// Its process, and where it is reached.
     pub me: Name,
-    /// The number of the front end that keeps the log, and where it is reached.
-    pub seat: (u64, SocketAddr),
+    /// The numbers of the front ends that keep the log, and where they are reached.
+    pub seats: Vec<(u64, SocketAddr)>,
     /// Leases.
     pub lease: Terms,
     /// Stays.
@@ -80,6 +83,28 @@
     Leaving(Vec<Line>, bool),
     /// The digest of the workers that leave, for one that knows others to tell of them.
     Digest(u64),
+    /// From seat to seat.
+    Seats(Vec<u8>),
+    /// Nothing but what stands in the head of every letter.
+    Head,
+}
+
+/// The seat that leads, by the term in which it does; of two the later term is right. It stands in the head of every letter.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Root {
+    /// Counts up with each change.
+    pub term: u64,
+    /// The front end's number.
+    pub id: u64,
+}
+
+/// What a seat is started from.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// What its disk holds.
+    pub saved: Saved,
+    /// The fields that a fleet which begins has first.
+    pub first: Fields,
 }
 
 /// What is to be done, in this order.
@@ -92,10 +117,19 @@
         /// What.
         body: Body,
     },
-    /// Hold an entry, then call [`Peer::held`]. One at a time.
+    /// Send to the seat of this number.
+    Seat {
+        /// Which.
+        to: u64,
+        /// What.
+        bytes: Vec<u8>,
+    },
+    /// Hold a record, then call [`Peer::held`]; in order. A whole takes the place of all before it.
     Hold {
-        /// The entry.
-        entry: Entry,
+        /// The record.
+        record: Vec<u8>,
+        /// All that there is, this record included.
+        whole: Option<Vec<u8>>,
     },
     /// The outcome of a request for an entry.
     Answer {
@@ -132,6 +166,11 @@
         /// Whether there is one.
         live: bool,
     },
+    /// This seat leads the fleet, or does no more.
+    Leads {
+        /// Whether it does.
+        live: bool,
+    },
     /// A datagram was thrown away.
     Stranger(Stranger),
     /// A change that touches strict fields did not get through in time and is given up.
@@ -168,26 +207,54 @@
     next_stay: Time,
     next_join: Time,
     keeper: Option<Keeper>,
+    root: Root,
+    /// It is the root.
+    leads: bool,
+    /// Asks for a stay in a row that nobody answered.
+    unanswered: usize,
     lists: Lists,
     heard: BTreeMap<u64, SocketAddr>,
     noted: (Step, bool, bool),
 }
 
 impl Peer {
-    /// One that starts from nothing. With a log it is the seat: what its disk holds.
-    pub fn new(setup: Setup, log: Option<Log>, now: Time) -> Peer {
+    /// One that starts from nothing; a seat from what it held.
+    pub fn new(setup: Setup, held: Option<Held>, now: Time) -> Result<Peer, Unreadable> {
         let members = Members::new(setup.fleet, setup.me.clone(), setup.pace, setup.seed);
         let me = setup.me.member();
-        let view = members.view(setup.seat.0);
-        let front = match &log {
-            Some(log) => Front::seat(setup.lease, me, view, log.state().clone(), Time::MAX, now),
-            None => Front::new(setup.lease, me, view, now),
+        let root = Root { term: 0, id: setup.seats.first().map_or(0, |s| s.0) };
+        let front = Front::new(setup.lease, me, members.view(root.id), now);
+        let keeper = match held {
+            Some(held) => {
+                let seats = tansy_seats::Setup {
+                    me: me.id,
+                    incarnation: me.incarnation,
+                    seats: setup.seats.iter().map(|s| s.0).collect(),
+                    terms: setup.lease,
+                    first: held.first,
+                    seed: setup.seed,
+                };
+                Some(Keeper::new(Seats::new(seats, &held.saved, now)?, setup.stay, now))
+            }
+            None => None,
         };
-        let keeper = log.map(|log| Keeper::new(log, setup.stay, now));
         let stay = Stay::new(setup.stay, me);
         let lists = Lists::new(setup.seed, now);
-        let (heard, noted) = (BTreeMap::new(), (Step(0), false, false));
-        Peer { setup, members, front, stay, next_stay: now, next_join: now, keeper, lists, heard, noted }
+        Ok(Peer {
+            setup,
+            members,
+            front,
+            stay,
+            next_stay: now,
+            next_join: now,
+            keeper,
+            root,
+            leads: false,
+            unanswered: 0,
+            lists,
+            heard: BTreeMap::new(),
+            noted: (Step(0), false, false),
+        })
     }
 
     /// Its setup.
@@ -197,8 +264,7 @@
 
     /// What it acts on now. Whoever acts has to look again once the lease or the stay is over.
     pub fn acting(&self, now: Time) -> Acting<'_> {
-        let stay = if self.keeper.is_some() { Time::MAX } else { self.stay.left(now) };
-        Acting { state: self.front.known(), lease: self.front.left(now), stay }
+        Acting { state: self.front.known(), lease: self.front.left(now), stay: self.stay.left(now) }
     }
 
     /// The others that are there.
@@ -206,19 +272,37 @@
         self.members.all()
     }
 
-    /// The agreed log, at a seat.
+    /// The agreed log, at the seat that leads.
     pub fn log(&self) -> Option<&Log> {
-        self.keeper.as_ref().map(Keeper::log)
+        self.keeper.as_ref().filter(|_| self.leads).and_then(Keeper::log)
+    }
+
+    /// What any seat knows to be agreed on, and how many entries that is.
+    pub fn agreed(&self) -> Option<(u64, &Log)> {
+        let keeper = self.keeper.as_ref()?;
+        Some((keeper.applied(), keeper.log()?))
     }
 
-    /// What the change under way waits for, at a seat.
+    /// Who leads, as far as it is known.
+    pub fn root(&self) -> Root {
+        self.root
+    }
+
+    /// Where the seat that leads is reached.
+    pub fn root_address(&self) -> SocketAddr {
+        let all = &self.setup.seats;
+        let found = all.iter().find(|s| s.0 == self.root.id).or(all.first());
+        found.map_or(self.setup.me.address, |s| s.1)
+    }
+
+    /// What the change under way waits for, at the seat that leads.
     pub fn waits(&self, now: Time) -> Option<Waits> {
         self.keeper.as_ref()?.waits(now, &self.front, &self.setup.schema)
     }
 
     /// When [`Peer::tick`] has something to do.
     pub fn next(&self) -> Time {
-        let stay = if self.keeper.is_some() { Time::MAX } else { self.next_stay };
+        let stay = self.next_stay;
         let seat = self.keeper.as_ref().map_or(Time::MAX, Keeper::next);
         let members = self.members.next().unwrap_or(Time::MAX);
         let all = [members, self.front.next(), stay, self.next_join, seat, self.lists.next()];
@@ -228,20 +312,27 @@
     /// What time brings.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
         self.members.tick(now);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.tick(now, out);
+        }
         if now >= self.next_join {
-            // Until somebody is known the seat is asked; it knows the others.
-            let alone = self.members.all().next().is_none() && self.setup.seat.0 != self.setup.me.id;
+            // Until somebody is known the seats are asked; they know the others.
+            let alone = self.members.all().next().is_none();
             if alone {
-                let (id, address) = self.setup.seat;
-                self.members.join(now, Name::new(id, 0, address));
+                for (id, address) in self.setup.seats.clone() {
+                    if id != self.setup.me.id {
+                        self.members.join(now, Name::new(id, 0, address));
+                    }
+                }
             }
             self.next_join = now + AGAIN * if alone { 1 } else { 10 };
         }
+        self.lead(now, out);
         self.spread(now, out);
         let mut letters = Vec::new();
         self.front.tick(now, &mut letters);
         self.post(letters, out);
-        if self.keeper.is_none() && now >= self.next_stay {
+        if now >= self.next_stay {
             self.ask_stay(now, out);
         }
         self.lists.tick(now, self.members.all(), out);
@@ -264,10 +355,13 @@
     }
 
     /// Takes what a front end wrote.
-    pub fn hear(&mut self, now: Time, from: &Name, body: Body, out: &mut Vec<Command>) {
+    pub fn hear(&mut self, now: Time, from: &Name, root: Root, body: Body, out: &mut Vec<Command>) {
         if from.id == self.setup.me.id {
             return;
         }
+        self.learn(root);
+        // A right that is out while the process stood still grants nothing.
+        self.lead(now, out);
         if self.heard.len() < HEARD || self.heard.contains_key(&from.id) {
             self.heard.insert(from.id, from.address);
         }
@@ -288,13 +382,15 @@
                 if let Some(keeper) = self.keeper.as_mut().filter(|_| ask.from == member) {
                     // One that starts from nothing hears first of the workers that leave.
                     let told = digest == self.lists.digest();
-                    let grant = if told || keeper.hosts(member) { keeper.stay(now, ask, name) } else { None };
+                    let may = self.leads && (told || keeper.hosts(member));
+                    let grant = if may { keeper.stay(now, ask, name) } else { None };
                     let body = match grant {
-                        Some(grant) => Some(Body::Stay(grant)),
-                        None if !told => Some(self.lists.whole(true)),
-                        None => None,
+                        Some(grant) => Body::Stay(grant),
+                        None if !told => self.lists.whole(true),
+                        // It hears at least who leads.
+                        None => Body::Head,
                     };
-                    out.extend(body.map(|body| Command::Send { to: from.address, body }));
+                    out.push(Command::Send { to: from.address, body });
                 }
             }
             Body::Leaving(lines, back) => {
@@ -309,48 +405,56 @@
                 }
             }
             Body::Gone(member) => {
-                let own = member == from.member();
-                if let Some(keeper) = self.keeper.as_mut().filter(|k| own && k.log().lists(member)) {
+                if let Some(keeper) = self.keeper.as_mut().filter(|_| member == from.member()) {
                     keeper.gone(member);
                 }
             }
             Body::Stay(grant) => {
-                if from.id == self.setup.seat.0 {
+                if self.setup.seats.iter().any(|s| s.0 == from.id) {
+                    self.unanswered = 0;
                     self.stay.granted(grant);
                 }
             }
+            Body::Seats(bytes) => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.hear(now, &bytes, out);
+                }
+            }
+            Body::Head => {}
         }
+        self.lead(now, out);
         self.go_on(now, out);
     }
 
     /// Asks for an entry; the answer comes with this number.
     pub fn request(&mut self, now: Time, request: u64, entry: Entry, out: &mut Vec<Command>) {
+        self.lead(now, out);
         match &mut self.keeper {
-            Some(keeper) => keeper.request(request, entry, out),
-            None => {
-                let outcome = Err(Refusal::NotSeat { seat: self.setup.seat.1 });
+            Some(keeper) if self.leads => keeper.request(request, entry, out),
+            _ => {
+                let outcome = Err(Refusal::NotSeat { seat: self.root_address() });
                 out.push(Command::Answer { request, outcome });
             }
         }
         self.go_on(now, out);
     }
 
-    /// The entry that was to be held is held, or can't be.
+    /// The first record that was to be held is held, or can't be.
     pub fn held(&mut self, now: Time, done: Result<(), String>, out: &mut Vec<Command>) {
         let Some(keeper) = &mut self.keeper else { return };
-        if let Some(state) = keeper.held(now, done, out) {
-            let mut letters = Vec::new();
-            self.front.stepped(now, state, &mut letters);
-            self.post(letters, out);
-        }
+        keeper.held(now, done, out);
+        self.lead(now, out);
         self.go_on(now, out);
     }
 
     /// It acts no more: the others need not find out, and nothing waits for it.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Command>) {
-        if self.keeper.is_none() {
-            out.push(Command::Send { to: self.setup.seat.1, body: Body::Gone(self.setup.me.member()) });
+        let member = self.setup.me.member();
+        match &mut self.keeper {
+            Some(keeper) if self.leads => keeper.gone(member),
+            _ => out.push(Command::Send { to: self.root_address(), body: Body::Gone(member) }),
         }
+        self.go_on(now, out);
         self.members.leave(now);
         self.spread(now, out);
     }
@@ -361,7 +465,7 @@
         }
         let news = self.members.take_news();
         if !news.is_empty() {
-            self.front.knows(self.members.view(self.setup.seat.0));
+            self.front.knows(self.members.view(self.root.id));
             let mut letters = Vec::new();
             self.front.tick(now, &mut letters);
             self.post(letters, out);
@@ -373,7 +477,7 @@
     fn post(&mut self, letters: Vec<(u64, Message<State>)>, out: &mut Vec<Command>) {
         for (id, message) in letters {
             let member = self.members.all().find(|n| n.id == id).map(|n| n.address);
-            let seat = (id == self.setup.seat.0).then_some(self.setup.seat.1);
+            let seat = self.setup.seats.iter().find(|s| s.0 == id).map(|s| s.1);
             let to = seat.or(member).or_else(|| self.heard.get(&id).copied());
             out.extend(to.map(|to| Command::Send { to, body: Body::Lease(message) }));
         }
@@ -384,12 +488,77 @@
         let awaited = self.front.known().is_some_and(|s| self.strict(s));
         let most = if awaited { STAY_AWAITED } else { STAY_MOST };
         let often = (self.setup.stay.span / STAY_PART).min(most);
-        self.next_stay = now + if self.stay.left(now) == 0 { AGAIN } else { often };
+        self.next_stay = now + if self.stay.left(now) == 0 || self.unanswered > 0 { AGAIN } else { often };
         // One that knows nothing acts on nothing: it has no need of a stay.
-        if at > Step(0) {
-            let digest = self.lists.digest();
-            let body = Body::AskStay(self.stay.ask(now, at), self.setup.name.clone(), digest);
-            out.push(Command::Send { to: self.setup.seat.1, body });
+        if at == Step(0) {
+            return;
+        }
+        let (ask, name) = (self.stay.ask(now, at), self.setup.name.clone());
+        if let Some(keeper) = self.keeper.as_mut().filter(|_| self.leads) {
+            // The root is on the roster as any other is: the next root has to wait for it.
+            if let Some(grant) = keeper.stay(now, ask, name) {
+                self.unanswered = 0;
+                self.stay.granted(grant);
+            }
+            return;
+        }
+        self.unanswered += 1;
+        // Who leads may be gone: then any seat may know who does by now.
+        let others = &self.setup.seats;
+        let to = match self.unanswered {
+            0..=UNANSWERED => self.root_address(),
+            n => others.get(n % others.len().max(1)).map_or(self.root_address(), |s| s.1),
+        };
+        let digest = self.lists.digest();
+        out.push(Command::Send { to, body: Body::AskStay(ask, name, digest) });
+    }
+
+    /// Another seat leads, as somebody says.
+    fn learn(&mut self, root: Root) {
+        let seat = self.setup.seats.iter().any(|s| s.0 == root.id);
+        if root > self.root && seat && !self.leads {
+            self.root = root;
+            self.front.knows(self.members.view(root.id));
+        }
+    }
+
+    /// Takes up the root's part, goes on with it, or gives it up.
+    fn lead(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(keeper) = &mut self.keeper else { return };
+        let me = self.setup.me.member();
+        match (keeper.right(now), keeper.log().map(Log::state)) {
+            (Some(until), Some(state)) if !self.leads => {
+                let (state, term) = (state.clone(), keeper.leader().map_or(0, |l| l.0));
+                keeper.begin(now);
+                (self.leads, self.root) = (true, Root { term, id: me.id });
+                let view = self.members.view(me.id);
+                self.front = Front::seat(self.setup.lease, me, view, state, until, now);
+                self.next_stay = now;
+                out.push(Command::Note(Note::Leads { live: true }));
+            }
+            (Some(until), Some(state)) => {
+                self.front.extend(until);
+                if self.front.known().is_none_or(|known| known.step != state.step) {
+                    let (state, mut letters) = (state.clone(), Vec::new());
+                    self.front.stepped(now, state, &mut letters);
+                    self.post(letters, out);
+                }
+            }
+            _ if self.leads => {
+                keeper.end(out);
+                self.leads = false;
+                let view = self.members.view(self.root.id);
+                let known = self.front.known().cloned();
+                self.front = match known {
+                    Some(state) => Front::knowing(self.setup.lease, me, view, state, now),
+                    None => Front::new(self.setup.lease, me, view, now),
+                };
+                out.push(Command::Note(Note::Leads { live: false }));
+            }
+            _ => {}
+        }
+        if let Some((term, id)) = self.keeper.as_ref().and_then(Keeper::leader).filter(|l| l.1 != me.id) {
+            self.learn(Root { term, id });
         }
     }
 
@@ -400,9 +569,6 @@
 
     /// What follows of what happened: steps of the log, and what is told.
     fn go_on(&mut self, now: Time, out: &mut Vec<Command>) {
-        if let Some(keeper) = &mut self.keeper {
-            keeper.go_on(now, &self.front, &self.setup.schema, out);
-        }
         let (step, strict) = match self.front.known() {
             Some(s) => (s.step, self.strict(s)),
             None => (Step(0), false),
@@ -413,16 +579,19 @@
                 out.push(Command::Note(Note::Step { step, force: s.force.version.0, next }));
             }
             // The seat waits for all where the change is of what must never be two things; and a first stay is urgent.
-            if self.keeper.is_none() && (strict || self.stay.left(now) == 0) {
+            if strict || self.stay.left(now) == 0 {
                 self.ask_stay(now, out);
             }
         }
+        if let Some(keeper) = self.keeper.as_mut().filter(|_| self.leads) {
+            keeper.go_on(now, &self.front, &self.setup.schema, out);
+        }
         let acting = self.acting(now);
         let (lease, stay) = (acting.lease > 0, acting.stay > 0);
         if lease != self.noted.1 {
             out.push(Command::Note(Note::Lease { live: lease }));
         }
-        if stay != self.noted.2 && self.keeper.is_none() {
+        if stay != self.noted.2 {
             out.push(Command::Note(Note::Stay { live: stay }));
         }
         self.noted = (step, lease, stay);
--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -1,4 +1,4 @@
-//! A seat's part: the log, held before it is told, and the steps that a change takes.
+//! A seat's part: the log that the seats agree on, and the steps that a change takes while this one is the root.
 
 use crate::{Command, Note};
 use std::collections::VecDeque;
@@ -8,8 +8,9 @@
 use tansy_agree::member::Front;
 use tansy_agree::rule::Schema;
 use tansy_agree::stay::{self, Register};
+use tansy_seats::{Out, Seats};
 
-/// Requests that wait for the disk.
+/// Requests that wait.
 const WAITING: usize = 64;
 /// A change of strict fields that has gone joint, so that calls are refused for it, is given up after this time.
 const PATIENCE: Time = 10_000_000;
@@ -21,26 +22,32 @@
 pub enum Refusal {
     /// The log refuses it.
     Log(Refused),
-    /// Another front end keeps the log.
+    /// Another front end leads.
     NotSeat {
-        /// Where that is reached.
+        /// Where that is reached, as far as it is known.
         seat: SocketAddr,
     },
     /// Too many requests wait.
     Busy,
     /// It can't be held.
     Disk(String),
+    /// Another front end leads by now: what became of it is not known here.
+    Lost,
 }
 
 impl std::fmt::Display for Refusal {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Refusal::Log(r) => write!(f, "{r}"),
-            Refusal::NotSeat { seat } => write!(f, "this front end keeps no log: ask the seat at {seat}"),
-            Refusal::Busy => write!(f, "{WAITING} requests wait for the seat's disk: try again later"),
+            Refusal::NotSeat { seat } => write!(f, "this front end does not lead the fleet: ask {seat}"),
+            Refusal::Busy => write!(f, "{WAITING} requests wait: try again later"),
             Refusal::Disk(why) => {
                 write!(f, "the seat's disk does not take it: {why}; mend it and start the seat again")
             }
+            Refusal::Lost => write!(
+                f,
+                "another front end leads by now: ask again with the same id to learn what came of it"
+            ),
         }
     }
 }
@@ -61,65 +68,166 @@
 }
 
 pub(crate) struct Keeper {
-    log: Log,
-    register: Register,
-    /// The first is with the disk, if `writing`.
+    seats: Seats,
+    terms: Terms,
+    /// While it is the root: those that may hold stays.
+    register: Option<Register>,
+    /// The first is proposed, if there is a number.
     waiting: VecDeque<Pending>,
-    writing: bool,
+    proposed: Option<u64>,
     broken: Option<String>,
     joint_since: Option<(Step, Time)>,
     next_look: Time,
 }
 
 impl Keeper {
-    pub(crate) fn new(log: Log, terms: Terms, now: Time) -> Keeper {
-        let register = Register::new(terms, log.roster().map(|(m, _)| m), now);
+    pub(crate) fn new(seats: Seats, terms: Terms, now: Time) -> Keeper {
         Keeper {
-            log,
-            register,
+            seats,
+            terms,
+            register: None,
             waiting: VecDeque::new(),
-            writing: false,
+            proposed: None,
             broken: None,
             joint_since: None,
             next_look: now,
         }
     }
 
-    pub(crate) fn log(&self) -> &Log {
-        &self.log
+    /// The log, as far as it is known to be agreed on.
+    pub(crate) fn log(&self) -> Option<&Log> {
+        self.seats.log()
+    }
+
+    pub(crate) fn applied(&self) -> u64 {
+        self.seats.applied()
+    }
+
+    /// Who leads, by the term of that.
+    pub(crate) fn leader(&self) -> Option<(u64, u64)> {
+        self.seats.leader()
+    }
+
+    /// Until when this seat is the fleet's root.
+    pub(crate) fn right(&self, now: Time) -> Option<Time> {
+        self.seats.right(now)
     }
 
     pub(crate) fn next(&self) -> Time {
-        self.next_look
+        let look = if self.register.is_some() { self.next_look } else { Time::MAX };
+        self.seats.next().min(look)
+    }
+
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        let mut all = Vec::new();
+        self.seats.tick(now, &mut all);
+        self.take(now, all, out);
+    }
+
+    pub(crate) fn hear(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Command>) {
+        let mut all = Vec::new();
+        self.seats.hear(bytes, &mut all);
+        self.take(now, all, out);
+    }
+
+    /// The first record is held, or can't be.
+    pub(crate) fn held(&mut self, now: Time, done: Result<(), String>, out: &mut Vec<Command>) {
+        let mut all = Vec::new();
+        self.seats.held(done.is_ok(), &mut all);
+        if let (Err(why), None) = (done, &self.broken) {
+            // What became of the record is not known until the file is read again; nothing is told of it.
+            for p in self.waiting.drain(..) {
+                let outcome = Err(Refusal::Disk(why.clone()));
+                out.extend(p.request.map(|request| Command::Answer { request, outcome }));
+            }
+            self.proposed = None;
+            out.push(Command::Note(Note::Disk { why: why.clone() }));
+            self.broken = Some(why);
+        }
+        self.take(now, all, out);
+    }
+
+    fn take(&mut self, now: Time, all: Vec<Out>, out: &mut Vec<Command>) {
+        for o in all {
+            match o {
+                Out::Send { to, bytes } => out.push(Command::Seat { to, bytes }),
+                Out::Hold { record, whole } => out.push(Command::Hold { record, whole }),
+                Out::Applied { mine, entry, outcome } => self.applied_one(now, mine, entry, outcome, out),
+            }
+        }
+    }
+
+    fn applied_one(
+        &mut self,
+        now: Time,
+        mine: Option<u64>,
+        entry: Entry,
+        outcome: Result<Applied, Refused>,
+        out: &mut Vec<Command>,
+    ) {
+        if let (Some(register), true) = (&mut self.register, outcome.is_ok()) {
+            match entry {
+                Entry::Leave { member } => register.dismiss(member),
+                Entry::Join { member, at, .. } => register.joined(now, member, at),
+                _ => {}
+            }
+        }
+        if mine.is_some() && mine == self.proposed {
+            self.proposed = None;
+            let p = self.waiting.pop_front();
+            let outcome = outcome.map_err(Refusal::Log);
+            out.extend(p.and_then(|p| p.request).map(|request| Command::Answer { request, outcome }));
+        }
+    }
+
+    /// It is the root from now on: whoever is on the roster may hold a stay.
+    pub(crate) fn begin(&mut self, now: Time) {
+        let roster = self.seats.log().into_iter().flat_map(Log::roster).map(|(m, _)| m);
+        self.register = Some(Register::new(self.terms, roster, now));
+        (self.joint_since, self.next_look) = (None, now);
+    }
+
+    /// It is the root no more.
+    pub(crate) fn end(&mut self, out: &mut Vec<Command>) {
+        self.register = None;
+        self.proposed = None;
+        for p in self.waiting.drain(..) {
+            out.extend(p.request.map(|request| Command::Answer { request, outcome: Err(Refusal::Lost) }));
+        }
     }
 
     /// A stay for one that the roster lists; another is put on it first, and gets one when it asks again.
     pub(crate) fn stay(&mut self, now: Time, ask: stay::Ask, name: String) -> Option<stay::Grant> {
-        if self.log.lists(ask.from) {
+        let register = self.register.as_mut()?;
+        let log = self.seats.log()?;
+        if log.lists(ask.from) {
             // One about whom it is being written that it left gets none: it would not be waited for.
             let leaves = |p: &Pending| matches!(&p.entry, Entry::Leave { member } if *member == ask.from);
             let leaving = self.waiting.iter().any(leaves);
-            return if leaving { None } else { self.register.grant(now, ask) };
+            return if leaving { None } else { register.grant(now, ask) };
         }
         let joins = |p: &Pending| matches!(&p.entry, Entry::Join { member, .. } if *member == ask.from);
-        if self.broken.is_none() && !self.waiting.iter().any(joins) && self.waiting.len() < WAITING {
-            self.waiting.push_back(Pending {
-                entry: Entry::Join { member: ask.from, name, at: ask.at },
-                request: None,
-            });
+        if !self.waiting.iter().any(joins) {
+            self.push(Entry::Join { member: ask.from, name, at: ask.at });
         }
         None
     }
 
     /// Whether it may hold a stay already.
     pub(crate) fn hosts(&self, member: Member) -> bool {
-        self.register.hosts(member)
+        self.register.as_ref().is_some_and(|r| r.hosts(member))
     }
 
     /// It acts no more.
     pub(crate) fn gone(&mut self, member: Member) {
+        if self.register.is_some() && self.log().is_some_and(|l| l.lists(member)) {
+            self.push(Entry::Leave { member });
+        }
+    }
+
+    fn push(&mut self, entry: Entry) {
         if self.broken.is_none() && self.waiting.len() < WAITING {
-            self.waiting.push_back(Pending { entry: Entry::Leave { member }, request: None });
+            self.waiting.push_back(Pending { entry, request: None });
         }
     }
 
@@ -132,104 +240,65 @@
         out.push(Command::Answer { request, outcome: Err(refusal) });
     }
 
-    /// The first entry is held, or can't be. The state, if the fleet is to hear of another.
-    pub(crate) fn held(
-        &mut self,
-        now: Time,
-        done: Result<(), String>,
-        out: &mut Vec<Command>,
-    ) -> Option<State> {
-        if !std::mem::take(&mut self.writing) {
-            return None;
-        }
-        if let Err(why) = done {
-            // What became of the entry is not known until the file is read again; nothing is told of it.
-            for p in self.waiting.drain(..) {
-                let outcome = Err(Refusal::Disk(why.clone()));
-                out.extend(p.request.map(|request| Command::Answer { request, outcome }));
-            }
-            out.push(Command::Note(Note::Disk { why: why.clone() }));
-            self.broken = Some(why);
-            return None;
-        }
-        let p = self.waiting.pop_front()?;
-        let before = self.log.state().step;
-        let outcome = self.log.apply(p.entry.clone()).map_err(Refusal::Log);
-        match p.entry {
-            Entry::Leave { member } if !self.log.lists(member) => self.register.dismiss(member),
-            Entry::Join { member, at, .. } if outcome.is_ok() => self.register.joined(now, member, at),
-            _ => {}
-        }
-        out.extend(p.request.map(|request| Command::Answer { request, outcome }));
-        let state = self.log.state();
-        let joint = matches!(state.next, Some((_, Phase::Joint)));
-        self.joint_since = joint.then_some((state.step, now)).map(|new| match self.joint_since {
-            Some(old) if old.0 == new.0 => old,
-            _ => new,
-        });
-        (state.step != before).then(|| state.clone())
-    }
-
     /// Whether the change may take its next step.
-    fn reached(&self, now: Time, front: &Front<State>, schema: &Schema) -> bool {
-        let step = self.log.state().step;
-        front.reached(now, step) && (!self.log.strict(schema) || self.register.reached(step))
+    fn reached(&self, now: Time, log: &Log, front: &Front<State>, schema: &Schema) -> bool {
+        let step = log.state().step;
+        let stays = || self.register.as_ref().is_some_and(|r| r.reached(step));
+        front.reached(now, step) && (!log.strict(schema) || stays())
     }
 
     pub(crate) fn waits(&self, now: Time, front: &Front<State>, schema: &Schema) -> Option<Waits> {
-        let step = self.log.state().step;
-        let strict = self.log.strict(schema);
-        let stays = if strict { self.register.behind(step).collect() } else { Vec::new() };
-        self.log.unsettled().then(|| Waits { leases: !front.reached(now, step), stays })
+        let (log, register) = (self.seats.log()?, self.register.as_ref()?);
+        let step = log.state().step;
+        let stays = if log.strict(schema) { register.behind(step).collect() } else { Vec::new() };
+        log.unsettled().then(|| Waits { leases: !front.reached(now, step), stays })
     }
 
-    /// Enters what the time has come for, and hands the next entry to the disk.
+    /// Enters what the time has come for, and proposes the next entry; where it is the root.
     pub(crate) fn go_on(&mut self, now: Time, front: &Front<State>, schema: &Schema, out: &mut Vec<Command>) {
-        let own = |entry| Pending { entry, request: None };
+        let Some(register) = &self.register else { return };
         if now >= self.next_look {
             self.next_look = now + LOOK;
-            let out_of: Vec<Member> = self.register.out(now).collect();
-            for member in out_of {
-                if self.log.lists(member) && self.waiting.len() < WAITING {
-                    let leaves = |p: &Pending| matches!(&p.entry, Entry::Leave { member: m } if *m == member);
-                    if !self.waiting.iter().any(leaves) {
-                        self.waiting.push_back(own(Entry::Leave { member }));
-                    }
-                } else if !self.log.lists(member) {
-                    self.register.dismiss(member);
-                }
-            }
+            let leaves = |m: &Member| {
+                self.waiting.iter().any(|p| matches!(&p.entry, Entry::Leave { member } if member == m))
+            };
+            let gone: Vec<Member> = register.out(now).filter(|m| !leaves(m)).collect();
+            gone.into_iter().for_each(|member| self.push(Entry::Leave { member }));
         }
-        if self.waiting.is_empty() && self.broken.is_none() && self.log.unsettled() {
-            let step = self.log.state().step;
-            if self.reached(now, front, schema) {
-                self.waiting.push_back(own(Entry::Advance { from: step }));
-            } else if self.joint_since.is_some_and(|(s, t)| s == step && now - t >= PATIENCE) {
-                let version = self.log.state().latest();
-                let behind = self.register.behind(step).collect();
+        let (Some(log), Some(register)) = (self.seats.log(), &self.register) else { return };
+        let state = log.state();
+        let joint = matches!(state.next, Some((_, Phase::Joint)));
+        self.joint_since = match self.joint_since {
+            Some(since) if joint && since.0 == state.step => Some(since),
+            _ => joint.then_some((state.step, now)),
+        };
+        if self.waiting.is_empty() && self.broken.is_none() && log.unsettled() {
+            let from = state.step;
+            if self.reached(now, log, front, schema) {
+                self.push(Entry::Advance { from });
+            } else if self.joint_since.is_some_and(|(s, t)| s == from && now - t >= PATIENCE) {
+                let version = state.latest();
+                let behind = register.behind(from).collect();
                 out.push(Command::Note(Note::GivenUp { version: version.0, behind }));
-                self.waiting.push_back(own(Entry::Abandon { version }));
+                self.push(Entry::Abandon { version });
             }
         }
-        while !self.writing {
-            let Some(p) = self.waiting.front() else { return };
-            // What changes nothing needs no disk.
-            match self.log.clone().apply(p.entry.clone()) {
-                Ok(Applied::Again(v)) => {
-                    let outcome = Ok(Applied::Again(v));
-                    out.extend(p.request.map(|request| Command::Answer { request, outcome }));
-                    self.waiting.pop_front();
-                }
+        while self.proposed.is_none() {
+            let (Some(p), Some(log)) = (self.waiting.front(), self.seats.log()) else { return };
+            // What changes nothing needs no word among the seats.
+            let answer = match log.clone().apply(p.entry.clone()) {
+                Ok(Applied::Again(v)) => Ok(Applied::Again(v)),
+                Err(e) => Err(Refusal::Log(e)),
                 Ok(_) => {
-                    self.writing = true;
-                    out.push(Command::Hold { entry: p.entry.clone() });
-                }
-                Err(e) => {
-                    let outcome = Err(Refusal::Log(e));
-                    out.extend(p.request.map(|request| Command::Answer { request, outcome }));
-                    self.waiting.pop_front();
+                    let (entry, mut all) = (p.entry.clone(), Vec::new());
+                    let Some(number) = self.seats.propose(entry, &mut all) else { return };
+                    self.proposed = Some(number);
+                    self.take(now, all, out);
+                    continue;
                 }
-            }
+            };
+            let request = self.waiting.pop_front().and_then(|p| p.request);
+            out.extend(request.map(|request| Command::Answer { request, outcome: answer }));
         }
     }
 }
--- a/decide/seats/src/lib.rs
+++ b/decide/seats/src/lib.rs
@@ -13,7 +13,7 @@
 
 use mem::Mem;
 use raft::eraftpb::{HardState, MessageType};
-use raft::{Config, RawNode, ReadOnlyOption, StateRole, Storage};
+use raft::{Config, RawNode, ReadOnlyOption, StateRole};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use tansy_agree::lease::{Terms, Time};
@@ -132,6 +132,9 @@
 /// One seat.
 pub struct Seats {
     setup: Setup,
+    /// The seats in an order that all have; the library knows each by its place in it, from 1.
+    order: Vec<u64>,
+    me: u64,
     node: RawNode<Mem>,
     log: Option<Log>,
     applied: u64,
@@ -157,9 +160,12 @@
     /// A seat that goes on from what its disk holds.
     pub fn new(setup: Setup, saved: &Saved, now: Time) -> Result<Seats, Unreadable> {
         let bad = |record: usize| move |e: postcard::Error| Unreadable { record, why: e.to_string() };
-        let mut voters = setup.seats.clone();
-        voters.sort();
-        voters.dedup();
+        let mut order = setup.seats.clone();
+        order.sort();
+        order.dedup();
+        let me = order.iter().zip(1..).find(|(n, _)| **n == setup.me).map(|p| p.1);
+        let me = me.ok_or_else(|| Unreadable { record: 0, why: "it is none of the seats".into() })?;
+        let voters: Vec<u64> = order.iter().zip(1..).map(|p| p.1).collect();
         let mut mem = Mem { voters: voters.clone(), ..Mem::default() };
         mem.latest.voters = voters;
         if let Some(bytes) = &saved.whole {
@@ -187,7 +193,7 @@
             false => Some(postcard::from_bytes(&mem.latest.log).map_err(bad(0))?),
         };
         let config = Config {
-            id: setup.me,
+            id: me,
             election_tick: ELECTION,
             heartbeat_tick: ROUND,
             applied,
@@ -205,6 +211,8 @@
         let rng = fastrand::Rng::with_seed(setup.seed);
         let mut seats = Seats {
             setup,
+            order,
+            me,
             node,
             log,
             applied,
@@ -242,8 +250,7 @@
 
     /// The seat that leads, as far as this one knows, and the term of that.
     pub fn leader(&self) -> Option<(u64, u64)> {
-        let id = self.node.raft.leader_id;
-        (id != 0).then_some((self.node.raft.term, id))
+        Some((self.node.raft.term, seat(&self.order, self.node.raft.leader_id)?))
     }
 
     /// Until when it may act as the fleet's root; none: it may not.
@@ -284,15 +291,15 @@
                 self.rounds.pop_front();
             }
         }
-        self.collect(now, out);
+        self.collect(out);
     }
 
     /// Takes a message of another seat.
-    pub fn hear(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Out>) {
+    pub fn hear(&mut self, bytes: &[u8], out: &mut Vec<Out>) {
         if self.broken {
             return;
         }
-        let Some(m) = wire::read(bytes, self.setup.me, &self.node.store().voters) else { return };
+        let Some(m) = wire::read(bytes, self.me, &self.node.store().voters) else { return };
         let last = self.node.raft.raft_log.last_index();
         let committed = self.node.raft.raft_log.committed;
         // What contradicts the log here: its disk lost what it had acknowledged, or the other's did.
@@ -306,16 +313,16 @@
         // Others end with an error that says that nothing was done.
         let _ = self.node.step(m);
         self.draw();
-        self.collect(now, out);
+        self.collect(out);
     }
 
     /// Proposes an entry, where it leads; its number, by which it is known when it is applied. None: it does not lead.
-    pub fn propose(&mut self, now: Time, entry: Entry, out: &mut Vec<Out>) -> Option<u64> {
+    pub fn propose(&mut self, entry: Entry, out: &mut Vec<Out>) -> Option<u64> {
         let number = self.next_number;
         let said = Said::Entry(self.setup.me, self.setup.incarnation, number, entry);
         self.say(&said).then(|| {
             self.next_number += 1;
-            self.collect(now, out);
+            self.collect(out);
             number
         })
     }
@@ -327,16 +334,18 @@
     }
 
     /// The first record that the disk was given is held, or can't be. Then this seat takes part no more.
-    pub fn held(&mut self, now: Time, done: bool, out: &mut Vec<Out>) {
+    pub fn held(&mut self, done: bool, out: &mut Vec<Out>) {
         if !done {
             self.broken = true;
             return;
         }
         let Some((number, messages, to)) = self.held.pop_front() else { return };
-        out.extend(messages.into_iter().zip(to).map(|(bytes, to)| Out::Send { to, bytes }));
+        let order = &self.order;
+        let sent = messages.into_iter().zip(to);
+        out.extend(sent.filter_map(|(bytes, to)| Some(Out::Send { to: seat(order, to)?, bytes })));
         if !self.broken {
             self.node.on_persist_ready(number);
-            self.collect(now, out);
+            self.collect(out);
         }
     }
 
@@ -356,10 +365,10 @@
     }
 
     /// Carries out what the library wants.
-    fn collect(&mut self, now: Time, out: &mut Vec<Out>) {
+    fn collect(&mut self, out: &mut Vec<Out>) {
         while self.node.has_ready() {
             let mut ready = self.node.ready();
-            send(ready.take_messages(), out);
+            send(&self.order, ready.take_messages(), out);
             let mut snapshot = None;
             if !ready.snapshot().get_metadata().get_conf_state().voters.is_empty() {
                 let snap = wire::snap(ready.snapshot());
@@ -410,7 +419,7 @@
                         self.node.advance_append_async(ready);
                     }
                     None => {
-                        send(persisted, out);
+                        send(&self.order, persisted, out);
                         self.node.advance_append_async(ready);
                         self.node.on_persist_ready(number);
                     }
@@ -423,7 +432,7 @@
             self.began = true;
             let first = Said::Begin(self.setup.first.clone());
             if self.say(&first) {
-                return self.collect(now, out);
+                self.collect(out);
             }
         }
     }
@@ -470,17 +479,18 @@
         };
         postcard::to_stdvec(&whole).unwrap_or_default()
     }
-
-    /// The last entry that is held or on its way to the disk.
-    pub fn last(&self) -> u64 {
-        self.node.store().last_index().unwrap_or(0)
-    }
 }
 
 fn hard((term, vote, commit): (u64, u64, u64)) -> HardState {
     HardState { term, vote, commit, ..Default::default() }
 }
 
-fn send(messages: Vec<raft::eraftpb::Message>, out: &mut Vec<Out>) {
-    out.extend(messages.iter().map(|m| Out::Send { to: m.to, bytes: wire::bytes(m) }));
+/// The seat that the library knows by this place.
+fn seat(order: &[u64], id: u64) -> Option<u64> {
+    order.get(usize::try_from(id.checked_sub(1)?).ok()?).copied()
+}
+
+fn send(order: &[u64], messages: Vec<raft::eraftpb::Message>, out: &mut Vec<Out>) {
+    let one = |m: &raft::eraftpb::Message| Some(Out::Send { to: seat(order, m.to)?, bytes: wire::bytes(m) });
+    out.extend(messages.iter().filter_map(one));
 }
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -1,7 +1,7 @@
 //! Gives what arrives to the state machine and carries out its commands.
 
 use crate::ask::ask;
-use crate::disk::{Disk, Held};
+use crate::disk::{Disk, Done};
 use crate::serve;
 use calloop::channel::Event;
 use std::cell::{Cell, RefCell};
@@ -20,7 +20,8 @@
 use tansy_net_grpc::link::{Limits as LinkLimits, Link};
 use tansy_net_grpc::server::{Limits, Server};
 use tansy_net_sockets::{clock, Spawner};
-use tansy_peer::{Body, Command, Note, Peer, Refusal};
+use tansy_peer::{Body, Command, Held, Note, Peer, Refusal};
+use tansy_seats::Saved;
 
 /// Letters on their way to one front end; further ones are dropped, as a network drops them.
 const ON_THE_WAY: usize = 64;
@@ -116,12 +117,15 @@
     ) -> Result<Rc<Peers>, Error> {
         setup.peer.me.address = listener.local_addr()?;
         let fleet = setup.peer.fleet;
-        let (mut disk, mut log, mut held) = (None, None, None);
+        let (mut disk, mut held, mut done) = (None, None, None);
+        let mut file = String::new();
         if let Some((path, first)) = setup.seat {
-            let (d, l, h) = Disk::open(&path, first).map_err(|e| format!("{}: {e}", path.display()))?;
-            (disk, log, held) = (Some(d), Some(l), Some(h));
+            file = path.display().to_string();
+            let (d, h, c) = Disk::open(&path).map_err(|e| format!("{file}: {e}"))?;
+            let saved = Saved { whole: h.whole, records: h.records };
+            (disk, held, done) = (Some(d), Some(Held { saved, first }), Some(c));
         }
-        let peer = Peer::new(setup.peer, log, clock::now());
+        let peer = Peer::new(setup.peer, held, clock::now()).map_err(|e| format!("{file}: {e}"))?;
         let peers = Rc::new(Peers {
             spawner: spawner.clone(),
             fleet: setup.fleet,
@@ -137,9 +141,9 @@
             dropped: Cell::new(0),
             server: RefCell::new(None),
         });
-        if let Some(held) = held {
+        if let Some(done) = done {
             let p = peers.clone();
-            let inserted = spawner.handle().insert_source(held, move |event, _, ()| {
+            let inserted = spawner.handle().insert_source(done, move |event, _, ()| {
                 if let Event::Msg(done) = event {
                     p.held(done);
                 }
@@ -202,15 +206,21 @@
         out.into_iter().for_each(|c| self.carry_out(c));
     }
 
-    fn held(self: &Rc<Self>, done: Held) {
+    fn held(self: &Rc<Self>, done: Done) {
         self.turn(|p, now, out| p.held(now, done, out));
     }
 
     fn carry_out(self: &Rc<Self>, command: Command) {
         match command {
             Command::Send { to, body } => self.send(to, body),
-            Command::Hold { entry } => {
-                if !self.disk.as_ref().is_some_and(|d| d.hold(entry)) {
+            Command::Seat { to, bytes } => {
+                let seats = self.with_peer(|p, _| p.setup().seats.clone());
+                if let Some((_, address)) = seats.into_iter().find(|s| s.0 == to) {
+                    self.send(address, Body::Seats(bytes));
+                }
+            }
+            Command::Hold { record, whole } => {
+                if !self.disk.as_ref().is_some_and(|d| d.hold(record, whole)) {
                     let me = self.clone();
                     self.spawner.spawn(async move { me.held(Err("the seat's thread has ended".into())) });
                 }
@@ -228,7 +238,7 @@
     fn send(self: &Rc<Self>, to: SocketAddr, body: Body) {
         let bytes = {
             let peer = self.peer.borrow();
-            letter(peer.setup().fleet, &peer.setup().me, body)
+            letter(peer.setup().fleet, &peer.setup().me, peer.root(), body)
         };
         let way = {
             let mut ways = self.ways.borrow_mut();
@@ -300,6 +310,8 @@
                 "the stay is out: calls that strict fields touch are refused until the seat is reached"
             );
         }
+        Note::Leads { live: true } => tracing::info!("this seat leads the fleet"),
+        Note::Leads { live: false } => tracing::warn!("this seat leads the fleet no more"),
         Note::Stranger(why) => tracing::warn!(%why, "a datagram was thrown away"),
         Note::GivenUp { version, behind } => {
             tracing::error!(
--- a/net/peers/src/serve.rs
+++ b/net/peers/src/serve.rs
@@ -68,8 +68,8 @@
 
 fn tell(peers: &Rc<Peers>, fleet: u64, bytes: &[u8]) -> Answer {
     match read(fleet, bytes) {
-        Ok((from, body)) => {
-            peers.turn(|p, now, out| p.hear(now, &from, body, out));
+        Ok((from, root, body)) => {
+            peers.turn(|p, now, out| p.hear(now, &from, root, body, out));
             Ok(pb::Taken {}.encode_to_vec())
         }
         Err(bad) => {
@@ -118,7 +118,8 @@
             fleet: peers.fleet.clone(),
             name: setup.name.clone(),
             process: Some(process(&setup.me)),
-            seat: setup.seat.1.to_string(),
+            seat: p.root_address().to_string(),
+            seats: setup.seats.iter().map(|s| s.1.to_string()).collect(),
             keeps_log: p.log().is_some(),
             state: acting.state.map(state),
             lease_left: acting.lease,
@@ -189,7 +190,7 @@
                 Refusal::Log(_) => Code::Aborted,
                 Refusal::NotSeat { .. } => Code::FailedPrecondition,
                 Refusal::Busy => Code::ResourceExhausted,
-                Refusal::Disk(_) => Code::Unavailable,
+                Refusal::Disk(_) | Refusal::Lost => Code::Unavailable,
             };
             Err((code, refusal.to_string()))
         }
@@ -201,8 +202,7 @@
     same(peers, asked.fleet, fleet)?;
     peers.with_peer(|p, _| {
         let Some(log) = p.log() else {
-            let seat = p.setup().seat.1;
-            let why = format!("this front end keeps no log: ask the seat at {seat}");
+            let why = format!("this front end does not lead the fleet: ask {}", p.root_address());
             return Err((Code::FailedPrecondition, why));
         };
         let s = log.state();
--- a/programs/day/src/main.rs
+++ b/programs/day/src/main.rs
@@ -42,6 +42,9 @@
     /// Front ends of `agree`.
     #[arg(long, default_value_t = 7)]
     front_ends: usize,
+    /// How many of them keep the log: 1, 3, 5 or 7.
+    #[arg(long, default_value_t = 3)]
+    seats: usize,
     /// Rounds of `agree`, one change and some faults each.
     #[arg(long, default_value_t = 5)]
     rounds: usize,
@@ -128,10 +131,15 @@
         eprintln!("--front-ends {} --rounds {}: want 3 to 40, and 1 to 1000", a.front_ends, a.rounds);
         return ExitCode::from(1);
     }
+    if ![1, 3, 5, 7].contains(&a.seats) || a.seats > a.front_ends {
+        eprintln!("--seats {}: want 1, 3, 5 or 7, and no more than front ends", a.seats);
+        return ExitCode::from(1);
+    }
     let rate = a.rate.unwrap_or(300);
     let play = tansy_day::agree::Play {
         seed: a.seed,
         fronts: a.front_ends,
+        seats: a.seats,
         rounds: a.rounds,
         rate,
         changes: true,
--- a/programs/fleet/src/lib.rs
+++ b/programs/fleet/src/lib.rs
@@ -86,7 +86,7 @@
         /// Its name.
         name: String,
     },
-    /// Who keeps the agreed log.
+    /// Who keeps the agreed log, and who of them leads.
     Seats,
 }
 
@@ -203,16 +203,18 @@
         }
         What::Seats => {
             let s = client.status(a.at)?;
-            let at = address(&s.seat)?;
-            let line = match client.status(at) {
+            let at = s.seats.iter().map(|a| address(a)).collect::<Result<Vec<_>, _>>()?;
+            let answers = client.statuses(&at);
+            let line = |(at, answer): (&SocketAddr, Result<pb::StatusReply, Failed>)| match answer {
                 Ok(s) => FrontLine::of(&s),
-                Err(e) => FrontLine::silent(s.seat.clone(), e.to_string()),
+                Err(e) => FrontLine::silent(at.to_string(), e.to_string()),
             };
-            let plain = match &line.error {
-                None => format!("{} at {}\n", line.name, line.address),
-                Some(e) => format!("{}: {e}\n", line.address),
+            let lines: Vec<FrontLine> = at.iter().zip(answers).map(line).collect();
+            let plain = |l: &FrontLine| match &l.error {
+                None => format!("{} at {}{}\n", l.name, l.address, if l.seat { ", leads" } else { "" }),
+                Some(e) => format!("{}: {e}\n", l.address),
             };
-            show(a, &[line], || plain);
+            show(a, &lines, || lines.iter().map(plain).collect());
             Ok(())
         }
     }
--- a/programs/fleet/src/show.rs
+++ b/programs/fleet/src/show.rs
@@ -14,7 +14,7 @@
     pub address: String,
     /// Whether it answered; what it said, if not.
     pub error: Option<String>,
-    /// It keeps the log.
+    /// It leads the fleet.
     pub seat: bool,
     /// The step that it knows.
     pub step: u64,
@@ -35,7 +35,7 @@
 pub struct FleetLine {
     /// Its name.
     pub fleet: String,
-    /// The seat's address.
+    /// Where it is led from.
     pub seat: String,
     /// Its front ends, as the one asked sees them.
     pub fronts: Vec<FrontLine>,
@@ -108,7 +108,7 @@
             "{:<14} {:<22} {:<5} {:<14} {:<10} {:<10} sees {}",
             self.name,
             self.address,
-            if self.seat { "seat" } else { "" },
+            if self.seat { "leads" } else { "" },
             version,
             right(self.lease_ms, "ms"),
             right(self.stay_s, "s"),
@@ -124,7 +124,7 @@
 impl FleetLine {
     /// Lines for people.
     pub fn plain(&self) -> String {
-        let mut out = format!("fleet {}, seat {}\n", self.fleet, self.seat);
+        let mut out = format!("fleet {}, led from {}\n", self.fleet, self.seat);
         out += "name           address                      version        lease      stay\n";
         for f in &self.fronts {
             out += &f.plain();
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -74,8 +74,7 @@
     let schema = agree::agreement();
     let lease = LeaseTerms { span: fleet.within * LEASE_TENTHS / 10, ppm: fleet.clock_ppm };
     let stay = LeaseTerms { span: fleet.stay, ppm: fleet.clock_ppm };
-    let seat = fleet.seats.first().ok_or("fleet.seats: no seat")?;
-    let at_seat = seat.name == fleet.me;
+    let at_seat = fleet.seats.iter().any(|s| s.name == fleet.me);
     // A process that comes back under its name is a later one; clocks of calendars do not go back by a restart's time.
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let incarnation = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
@@ -84,7 +83,7 @@
         fleet: number(&fleet.name),
         name: fleet.me.clone(),
         me: tansy_members::Name::new(id, incarnation, listener.local_addr()?),
-        seat: (number(&seat.name), seat.address),
+        seats: fleet.seats.iter().map(|s| (number(&s.name), s.address)).collect(),
         lease,
         stay,
         pace: tansy_members::Pace::default(),
--- a/protocol/fleet/src/lib.rs
+++ b/protocol/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 use tansy_agree::rule::{Fields, Value};
 use tansy_agree::stay;
 use tansy_members::Name;
-use tansy_peer::Body;
+use tansy_peer::{Body, Root};
 
 /// The form of the messages; another one is turned away.
 pub const FORM: u32 = 1;
@@ -59,7 +59,7 @@
 impl std::error::Error for Bad {}
 
 /// A letter as bytes.
-pub fn letter(fleet: u64, from: &Name, body: Body) -> Vec<u8> {
+pub fn letter(fleet: u64, from: &Name, root: Root, body: Body) -> Vec<u8> {
     use pb::letter::Body as B;
     let body = match body {
         Body::Members(bytes) => B::Members(bytes),
@@ -86,20 +86,25 @@
             B::Leaving(pb::Leaving { lines: leaves.map(line).collect(), back })
         }
         Body::Digest(digest) => B::Digest(digest),
+        Body::Seats(bytes) => B::Seats(bytes),
+        Body::Head => B::Head(true),
         Body::Gone(m) => B::Gone(member(m)),
         Body::Stay(g) => B::StayGrant(pb::StayGrant { to: Some(member(g.to)), seq: g.seq, span: g.span }),
     };
-    pb::Letter { form: FORM, fleet, from: Some(process(from)), body: Some(body) }.encode_to_vec()
+    let (root_term, root) = (root.term, root.id);
+    pb::Letter { form: FORM, fleet, from: Some(process(from)), root_term, root, body: Some(body) }
+        .encode_to_vec()
 }
 
-/// A letter of this fleet, with its sender.
-pub fn read(fleet: u64, bytes: &[u8]) -> Result<(Name, Body), Bad> {
+/// A letter of this fleet, with its sender and who leads in its eyes.
+pub fn read(fleet: u64, bytes: &[u8]) -> Result<(Name, Root, Body), Bad> {
     let letter = pb::Letter::decode(bytes).map_err(|e| Bad::Noise(e.to_string()))?;
     if letter.form != FORM {
         return Err(Bad::Form(letter.form));
     } else if letter.fleet != fleet {
         return Err(Bad::Fleet);
     }
+    let root = Root { term: letter.root_term, id: letter.root };
     let from = name(letter.from.ok_or(Bad::Part("sender"))?)?;
     use pb::letter::Body as B;
     let body = match letter.body.ok_or(Bad::Part("body"))? {
@@ -131,10 +136,12 @@
             Body::Leaving(lines, l.back)
         }
         B::Digest(digest) => Body::Digest(digest),
+        B::Seats(bytes) => Body::Seats(bytes),
+        B::Head(_) => Body::Head,
         B::Gone(m) => Body::Gone(of_member(Some(m))?),
         B::StayGrant(g) => Body::Stay(stay::Grant { to: of_member(g.to)?, seq: g.seq, span: g.span }),
     };
-    Ok((from, body))
+    Ok((from, root, body))
 }
 
 fn line(l: Line) -> pb::Line {
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -304,9 +304,13 @@
         let address = address(seat, "address", &format!("fleet.seats[{n}].address"), errors);
         seats.push(Seat { name: seat.text("name")?.to_string(), address: address? });
     }
-    if seats.len() != 1 {
-        let what = format!("{} seats", seats.len());
-        let help = "want one front end that keeps the agreed log, as seats: [{name: \"a\", address: \"127.0.0.1:7001\"}]";
+    let names: BTreeSet<&str> = seats.iter().map(|s| s.name.as_str()).collect();
+    let addresses: BTreeSet<SocketAddr> = seats.iter().map(|s| s.address).collect();
+    let each_once = names.len() == seats.len() && addresses.len() == seats.len();
+    if ![1, 3, 5, 7].contains(&seats.len()) || !each_once {
+        let what = format!("{} seats, {} names, {} addresses", seats.len(), names.len(), addresses.len());
+        let help = "want 1, 3, 5 or 7 front ends that keep the agreed log, each once, as \
+                    seats: [{name: \"a\", address: \"127.0.0.1:7001\"}]";
         errors.push(f.wrong("seats", "fleet.seats", what, help));
     }
     let listen = address(f, "listen", "fleet.listen", errors);
