Those who join the roster don't wait for each other

Change: entries of the roster are proposed together, everything else only when nothing before it is under way.

--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -11,7 +11,7 @@
 use tansy_seats::{Out, Seats};
 
 /// Requests that wait.
-const WAITING: usize = 64;
+const WAITING: usize = 512;
 /// A change of strict fields that has gone joint, so that calls are refused for it, is given up after this time.
 const PATIENCE: Time = 10_000_000;
 /// How often it is looked at who has left the roster, and whether a change goes on.
@@ -72,9 +72,9 @@
     terms: Terms,
     /// While it is the root: those that may hold stays.
     register: Option<Register>,
-    /// The first is proposed, if there is a number.
+    /// The first ones are proposed, as many as there are numbers.
     waiting: VecDeque<Pending>,
-    proposed: Option<u64>,
+    proposed: VecDeque<u64>,
     broken: Option<String>,
     joint_since: Option<(Step, Time)>,
     next_look: Time,
@@ -87,7 +87,7 @@
             terms,
             register: None,
             waiting: VecDeque::new(),
-            proposed: None,
+            proposed: VecDeque::new(),
             broken: None,
             joint_since: None,
             next_look: now,
@@ -140,7 +140,7 @@
                 let outcome = Err(Refusal::Disk(why.clone()));
                 out.extend(p.request.map(|request| Command::Answer { request, outcome }));
             }
-            self.proposed = None;
+            self.proposed.clear();
             out.push(Command::Note(Note::Disk { why: why.clone() }));
             self.broken = Some(why);
         }
@@ -172,8 +172,8 @@
                 _ => {}
             }
         }
-        if mine.is_some() && mine == self.proposed {
-            self.proposed = None;
+        if mine.is_some() && mine == self.proposed.front().copied() {
+            self.proposed.pop_front();
             let p = self.waiting.pop_front();
             let outcome = outcome.map_err(Refusal::Log);
             out.extend(p.and_then(|p| p.request).map(|request| Command::Answer { request, outcome }));
@@ -190,7 +190,7 @@
     /// It is the root no more.
     pub(crate) fn end(&mut self, out: &mut Vec<Command>) {
         self.register = None;
-        self.proposed = None;
+        self.proposed.clear();
         for p in self.waiting.drain(..) {
             out.extend(p.request.map(|request| Command::Answer { request, outcome: Err(Refusal::Lost) }));
         }
@@ -283,8 +283,15 @@
                 self.push(Entry::Abandon { version });
             }
         }
-        while self.proposed.is_none() {
-            let (Some(p), Some(log)) = (self.waiting.front(), self.seats.log()) else { return };
+        loop {
+            // Those who come and go don't wait for each other: 300 that start at once are on the roster together. All else
+            // is judged by a log in which everything before it is applied.
+            let at = self.proposed.len();
+            let (Some(p), Some(log)) = (self.waiting.get(at), self.seats.log()) else { return };
+            let roster = |p: &Pending| matches!(p.entry, Entry::Join { .. } | Entry::Leave { .. });
+            if at > 0 && !(roster(p) && self.waiting.iter().take(at).all(roster)) {
+                return;
+            }
             // What changes nothing needs no word among the seats.
             let answer = match log.clone().apply(p.entry.clone()) {
                 Ok(Applied::Again(v)) => Ok(Applied::Again(v)),
@@ -292,12 +299,12 @@
                 Ok(_) => {
                     let (entry, mut all) = (p.entry.clone(), Vec::new());
                     let Some(number) = self.seats.propose(entry, &mut all) else { return };
-                    self.proposed = Some(number);
+                    self.proposed.push_back(number);
                     self.take(now, all, out);
                     continue;
                 }
             };
-            let request = self.waiting.pop_front().and_then(|p| p.request);
+            let request = self.waiting.remove(at).and_then(|p| p.request);
             out.extend(request.map(|request| Command::Answer { request, outcome: answer }));
         }
     }
