One list of what ends when, one unary answer; the root's endless right is gone

Read again: what comes after a lease and a stay was worked out twice in the gateway's place in a fleet, with a case for a right without an end that no front end has since the root holds a lease and a stay like any other; tansy-fleet had the same case. The answer to a unary request stood in the stand-in worker and in net/peers; it is net/grpc's. Whether a change is strict is looked at when the step changes, not with each letter. Behaviour stays.

--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -569,14 +569,13 @@
 
     /// What follows of what happened: steps of the log, and what is told.
     fn go_on(&mut self, now: Time, out: &mut Vec<Command>) {
-        let (step, strict) = match self.front.known() {
-            Some(s) => (s.step, self.strict(s)),
-            None => (Step(0), false),
-        };
+        let step = self.front.known().map_or(Step(0), |s| s.step);
         if step != self.noted.0 {
+            let mut strict = false;
             if let Some(s) = self.front.known() {
                 let next = s.next.as_ref().map(|(n, _)| n.version.0);
                 out.push(Command::Note(Note::Step { step, force: s.force.version.0, next }));
+                strict = self.strict(s);
             }
             // The seat waits for all where the change is of what must never be two things; and a first stay is urgent.
             if strict || self.stay.left(now) == 0 {
--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
-use tansy_frames::grpc::{encode_message, Assembler, BadFrame, Code};
+use tansy_frames::grpc::{encode_message, frame, Assembler, BadFrame, Code};
 use tansy_net_sockets::socket::Socket;
 use tansy_net_sockets::{within, Spawner, Yield};
 
@@ -362,6 +362,14 @@
     map
 }
 
+/// Answers a unary request: headers, one message, trailers.
+pub fn answer(mut respond: SendResponse<Bytes>, message: &[u8], trailers: HeaderMap) {
+    // Fails only if the client has gone.
+    if let Ok(mut send) = respond.send_response(head(), false) {
+        let _ = send.send_data(frame(message), false).and_then(|()| send.send_trailers(trailers));
+    }
+}
+
 /// Ends a stream with its status in the headers ("Trailers-Only").
 pub fn refuse(respond: &mut SendResponse<Bytes>, trailers: HeaderMap) {
     let mut response = head();
--- a/net/peers/src/serve.rs
+++ b/net/peers/src/serve.rs
@@ -12,8 +12,8 @@
 use tansy_agree::log::{Applied, Entry, Version};
 use tansy_agree::rule::Touch;
 use tansy_fleet_wire::{member, of_settings, pb, process, read, settings, state, Bad, LARGEST, SERVICE};
-use tansy_frames::grpc::{frame, Code};
-use tansy_net_grpc::server::{head, refuse, trailers, Handler, Messages};
+use tansy_frames::grpc::Code;
+use tansy_net_grpc::server::{answer as reply, refuse, trailers, Handler, Messages};
 use tansy_net_sockets::within;
 use tansy_peer::Refusal;
 
@@ -55,13 +55,7 @@
         _ => Err((Code::Unimplemented, format!("{method:?} is no method of a fleet's front end"))),
     };
     match answer {
-        Ok(bytes) => {
-            // Fails only if the other side has gone.
-            if let Ok(mut send) = respond.send_response(head(), false) {
-                let whole = send.send_data(frame(&bytes), false);
-                let _ = whole.and_then(|()| send.send_trailers(trailers(Code::Ok, "")));
-            }
-        }
+        Ok(bytes) => reply(respond, &bytes, trailers(Code::Ok, "")),
         Err((code, why)) => refuse(&mut respond, trailers(code, &why)),
     }
 }
--- a/programs/fleet/src/show.rs
+++ b/programs/fleet/src/show.rs
@@ -22,10 +22,10 @@
     pub version: u64,
     /// The version under way, and how far.
     pub next: Option<(u64, String)>,
-    /// Milliseconds left of its lease; none: the seat's own right.
-    pub lease_ms: Option<i64>,
-    /// Seconds left of its stay; none: the seat's own right.
-    pub stay_s: Option<i64>,
+    /// Milliseconds left of its lease.
+    pub lease_ms: i64,
+    /// Seconds left of its stay.
+    pub stay_s: i64,
     /// Siblings that it sees.
     pub sees: usize,
 }
@@ -49,10 +49,6 @@
     pub waits_for_leases: bool,
 }
 
-fn endless(left: i64, unit: i64) -> Option<i64> {
-    (left < i64::MAX / 2).then_some(left / unit)
-}
-
 impl FrontLine {
     /// Of what it answered.
     pub fn of(s: &pb::StatusReply) -> FrontLine {
@@ -72,8 +68,8 @@
             step: state.map_or(0, |s| s.step),
             version: state.and_then(|s| s.force.as_ref()).map_or(0, |f| f.version),
             next,
-            lease_ms: endless(s.lease_left, 1000),
-            stay_s: endless(s.stay_left, 1_000_000),
+            lease_ms: s.lease_left / 1000,
+            stay_s: s.stay_left / 1_000_000,
             sees: s.others.len(),
         }
     }
@@ -88,17 +84,16 @@
             step: 0,
             version: 0,
             next: None,
-            lease_ms: Some(0),
-            stay_s: Some(0),
+            lease_ms: 0,
+            stay_s: 0,
             sees: 0,
         }
     }
 
     fn plain(&self) -> String {
-        let right = |left: Option<i64>, unit: &str| match left {
-            None => "its own".to_string(),
-            Some(0) => "none".into(),
-            Some(n) => format!("{n} {unit}"),
+        let right = |left: i64, unit: &str| match left {
+            0 => "none".to_string(),
+            n => format!("{n} {unit}"),
         };
         let version = match &self.next {
             Some((next, phase)) => format!("{} -> {next} {phase}", self.version),
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -48,6 +48,27 @@
     names: Names,
 }
 
+/// By what a front end acts.
+#[derive(Clone, Copy)]
+enum Right {
+    /// A lease and a stay.
+    Whole,
+    /// A stay alone.
+    Apart,
+    /// Neither.
+    Lapsed,
+}
+
+impl Ready {
+    fn by(&self, right: Right) -> &Terms {
+        match right {
+            Right::Whole => &self.whole,
+            Right::Apart => &self.apart,
+            Right::Lapsed => &self.lapsed,
+        }
+    }
+}
+
 struct Adopter {
     hub: Rc<Hub>,
     own: Fields,
@@ -169,13 +190,13 @@
         let step = state.step.0;
         let (lease, stay) = (acting.lease > 0, acting.stay > 0);
         let given = Given { step, lease, stay };
-        // A right without an end is the seat's own.
-        let ends: Vec<i64> = [(lease && stay, acting.lease), (stay, acting.stay)]
-            .into_iter()
-            .filter(|(there, left)| *there && *left < Time::MAX / 2)
-            .map(|(_, left)| left)
-            .collect();
-        if *self.given.borrow() == Some(given) && self.hub.renew(&ends) {
+        // What comes after each of them, in their order; a lease that outlasts the stay ends with that.
+        let within = lease && stay && acting.lease < acting.stay;
+        let ends = [(within, acting.lease, Right::Apart), (stay, acting.stay, Right::Lapsed)];
+        let ends = ends.into_iter().filter(|(there, ..)| *there);
+        let ends: Vec<(i64, Right)> = ends.map(|(_, left, after)| (left, after)).collect();
+        let left: Vec<i64> = ends.iter().map(|e| e.0).collect();
+        if *self.given.borrow() == Some(given) && self.hub.renew(&left) {
             return self.wrong();
         }
         let known = self.ready.borrow().as_ref().map(|r| r.0);
@@ -192,23 +213,13 @@
             return self.wrong();
         };
         let first = match (lease, stay) {
-            (true, true) => &ready.whole,
-            (false, true) => &ready.apart,
-            (_, false) => &ready.lapsed,
+            (true, true) => Right::Whole,
+            (false, true) => Right::Apart,
+            (_, false) => Right::Lapsed,
         };
-        // Each end with what comes after it, in their order.
-        let after = [(lease && stay, acting.lease, &ready.apart), (stay, acting.stay, &ready.lapsed)];
-        let mut after: Vec<(i64, Terms)> = after
-            .into_iter()
-            .filter(|(there, left, _)| *there && *left < Time::MAX / 2)
-            .map(|(_, left, terms)| (left, terms.clone()))
-            .collect();
-        if after.len() == 2 && after[1].0 <= after[0].0 {
-            after.remove(0);
-        }
-        let count = after.len();
-        let adopted = self.hub.adopt(first.clone(), ready.names.clone(), after);
-        *self.given.borrow_mut() = Some(given).filter(|_| count == ends.len());
+        let after = ends.into_iter().map(|(left, right)| (left, ready.by(right).clone())).collect();
+        let adopted = self.hub.adopt(ready.by(first).clone(), ready.names.clone(), after);
+        *self.given.borrow_mut() = Some(given);
         if let Err(e) = adopted {
             *self.ready.borrow_mut() = Some((step, Err(e.to_string())));
             self.refuse_all();
--- a/standins/worker/src/serve.rs
+++ b/standins/worker/src/serve.rs
@@ -21,7 +21,7 @@
 use tansy_inference::names;
 use tansy_inference::orca::OrcaLoadReport;
 use tansy_inference::scan;
-use tansy_net_grpc::server::{head, poll_write, refuse, trailers, Limits, Messages, Server};
+use tansy_net_grpc::server::{answer as unary, head, poll_write, refuse, trailers, Limits, Messages, Server};
 use tansy_net_grpc::side;
 use tansy_net_sockets::{within, Spawner};
 
@@ -317,13 +317,6 @@
     }
 }
 
-fn unary(mut respond: SendResponse<Bytes>, answer: &[u8], trailers: HeaderMap) {
-    // Fails only if the other side has gone.
-    if let Ok(mut send) = respond.send_response(head(), false) {
-        let _ = send.send_data(frame(answer), false).and_then(|()| send.send_trailers(trailers));
-    }
-}
-
 async fn load(standin: Rc<Standin>, message: Bytes, mut respond: SendResponse<Bytes>) {
     use pb::model_repository_parameter::ParameterChoice;
     let asked = pb::RepositoryModelLoadRequest::decode(message).unwrap_or_default();
