--- a/decide/agree/src/log.rs
+++ b/decide/agree/src/log.rs
@@ -17,6 +17,7 @@
 use crate::rule::{changes, joint, Change, Fields, Kind, Rules, Schema};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
 /// A version of the settings; 1 is the first, 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -83,6 +84,54 @@
         /// Which.
         member: Member,
     },
+    /// A front end is to keep the log in the place of another: it learns the log first.
+    Seat {
+        /// The new one.
+        new: u64,
+        /// Where it is reached.
+        address: SocketAddr,
+        /// The seat that it takes over.
+        instead: u64,
+    },
+    /// It knows the log: from here on what is agreed on needs most of the seats with the old one and most with the new.
+    Swap {
+        /// The new one.
+        new: u64,
+        /// The old one.
+        instead: u64,
+    },
+    /// The old one is a seat no more.
+    Seated {
+        /// The new one.
+        new: u64,
+    },
+    /// It did not learn the log in time, or is not wanted any more.
+    Unseat {
+        /// The new one.
+        new: u64,
+    },
+}
+
+/// How far a seat's replacement is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Hand {
+    /// The new one learns the log; it has no vote.
+    Learning,
+    /// Both have a vote.
+    Both,
+}
+
+/// A seat's replacement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seating {
+    /// The new one.
+    pub new: u64,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The seat that it takes over.
+    pub instead: u64,
+    /// How far it is.
+    pub hand: Hand,
 }
 
 /// Why an entry changed nothing.
@@ -110,6 +159,14 @@
     Behind,
     /// More front ends than a fleet may have.
     Full,
+    /// Another seat is being replaced.
+    Seating,
+    /// It is a seat already.
+    IsSeat,
+    /// It is no seat.
+    NoSeat,
+    /// No replacement stands at this step.
+    NoSeating,
 }
 
 impl std::fmt::Display for Refused {
@@ -132,6 +189,10 @@
                 write!(f, "it acts on a step that is past: it has to hear of the present one first")
             }
             Refused::Superseded => write!(f, "a later process of its name has joined"),
+            Refused::Seating => write!(f, "another seat is being replaced: seats are replaced one at a time"),
+            Refused::IsSeat => write!(f, "the one that is to take over is a seat already"),
+            Refused::NoSeat => write!(f, "the one that is to be replaced is no seat"),
+            Refused::NoSeating => write!(f, "no replacement of a seat is that far"),
             Refused::Full => {
                 write!(f, "{MEMBERS} front ends are in the fleet already: dismiss those that are gone")
             }
@@ -151,6 +212,8 @@
     Stepped(Step),
     /// Who may act is another set, or the same.
     Roster,
+    /// Who keeps the log, or is about to, is another set.
+    Seats,
 }
 
 /// A version with its fields.
@@ -212,15 +275,29 @@
     past: VecDeque<Settings>,
     /// Who may act by a stay: by name, the process and the name in words.
     roster: BTreeMap<u64, (u64, String)>,
+    /// Who keeps the log, and where each is reached.
+    seats: BTreeMap<u64, SocketAddr>,
+    seating: Option<Seating>,
 }
 
 impl Log {
-    /// A fleet that begins with these fields as its first version.
-    pub fn new(fields: Fields) -> Log {
+    /// A fleet that begins with these fields as its first version, and these seats.
+    pub fn new(fields: Fields, seats: impl IntoIterator<Item = (u64, SocketAddr)>) -> Log {
         let force = Settings { version: Version(1), fields, why: "the first".into(), id: 0 };
         let past = VecDeque::from([force.clone()]);
         let state = State { step: Step(1), force, next: None };
-        Log { state, given: Version(1), past, roster: BTreeMap::new() }
+        let seats = seats.into_iter().collect();
+        Log { state, given: Version(1), past, roster: BTreeMap::new(), seats, seating: None }
+    }
+
+    /// Who keeps the log, and where each is reached.
+    pub fn seats(&self) -> &BTreeMap<u64, SocketAddr> {
+        &self.seats
+    }
+
+    /// The replacement of a seat under way.
+    pub fn seating(&self) -> Option<Seating> {
+        self.seating
     }
 
     /// What is to be acted on.
@@ -255,79 +332,113 @@
         self.state.next.is_some()
     }
 
-    /// Applies one entry. What it returns depends on the entries alone, so that every seat finds the same.
-    pub fn apply(&mut self, entry: Entry) -> Result<Applied, Refused> {
-        match entry {
-            Entry::Propose { id, base, fields, why } => self.propose(id, base, fields, why),
-            Entry::Advance { from } if from != self.state.step => Err(Refused::Past),
-            Entry::Advance { .. } => self.advance(),
-            Entry::Abandon { version } => self.abandon(version),
-            Entry::Join { at, .. } if at != self.state.step => Err(Refused::Behind),
-            Entry::Join { member, name, .. } => self.join(member, name),
-            Entry::Leave { member } => {
-                if self.lists(member) {
-                    self.roster.remove(&member.id);
+    /// What an entry would do, without doing it: refused, nothing since this proposal was applied before as a version, or
+    /// something.
+    pub fn judge(&self, entry: &Entry) -> Result<Option<Version>, Refused> {
+        let next = self.state.next.as_ref();
+        let refused = match *entry {
+            Entry::Propose { id, base, ref fields, .. } => {
+                if let Some(known) = self.past.iter().find(|s| s.id == id && id != 0) {
+                    return Ok(Some(known.version));
+                }
+                let latest = self.state.force.version;
+                match next {
+                    Some((next, _)) => Some(Refused::Busy { with: next.version }),
+                    None if base != latest => Some(Refused::Base { latest }),
+                    None => (*fields == self.state.force.fields).then_some(Refused::Same),
                 }
-                Ok(Applied::Roster)
             }
-        }
-    }
-
-    fn join(&mut self, member: Member, name: String) -> Result<Applied, Refused> {
-        match self.roster.get(&member.id) {
-            Some((known, _)) if *known > member.incarnation => return Err(Refused::Superseded),
-            None if self.roster.len() >= MEMBERS => return Err(Refused::Full),
-            _ => {}
-        }
-        self.roster.insert(member.id, (member.incarnation, name));
-        Ok(Applied::Roster)
-    }
-
-    fn propose(&mut self, id: u64, base: Version, fields: Fields, why: String) -> Result<Applied, Refused> {
-        if let Some(known) = self.past.iter().find(|s| s.id == id && id != 0) {
-            return Ok(Applied::Again(known.version));
-        }
-        match &self.state.next {
-            Some((next, _)) => return Err(Refused::Busy { with: next.version }),
-            None if base != self.state.force.version => {
-                return Err(Refused::Base { latest: self.state.force.version })
+            Entry::Advance { from } => (from != self.state.step || next.is_none()).then_some(Refused::Past),
+            Entry::Abandon { version } => {
+                let there = next.is_some_and(|(n, phase)| n.version == version && *phase != Phase::Back);
+                (!there).then_some(Refused::Over)
             }
-            None if fields == self.state.force.fields => return Err(Refused::Same),
-            None => {}
-        }
-        self.given = Version(self.given.0 + 1);
-        let next = Settings { version: self.given, fields, why, id };
-        self.past.push_back(next.clone());
-        if self.past.len() > KEPT {
-            self.past.pop_front();
-        }
-        self.state.next = Some((next, Phase::Told));
-        self.state.step = self.state.step.next();
-        Ok(Applied::Told(self.given))
+            Entry::Join { at, .. } if at != self.state.step => Some(Refused::Behind),
+            Entry::Join { member, .. } => match self.roster.get(&member.id) {
+                Some((known, _)) => (*known > member.incarnation).then_some(Refused::Superseded),
+                None => (self.roster.len() >= MEMBERS).then_some(Refused::Full),
+            },
+            Entry::Leave { .. } => None,
+            Entry::Seat { .. } if self.seating.is_some() => Some(Refused::Seating),
+            Entry::Seat { new, .. } if self.seats.contains_key(&new) => Some(Refused::IsSeat),
+            Entry::Seat { instead, .. } => (!self.seats.contains_key(&instead)).then_some(Refused::NoSeat),
+            Entry::Swap { new, instead } => {
+                let at = self.at(new, Hand::Learning).is_some_and(|s| s.instead == instead);
+                (!at).then_some(Refused::NoSeating)
+            }
+            Entry::Seated { new } => self.at(new, Hand::Both).is_none().then_some(Refused::NoSeating),
+            Entry::Unseat { new } => self.at(new, Hand::Learning).is_none().then_some(Refused::NoSeating),
+        };
+        refused.map_or(Ok(None), Err)
     }
 
-    fn advance(&mut self) -> Result<Applied, Refused> {
-        let Some((next, phase)) = self.state.next.take() else { return Err(Refused::Past) };
-        match phase {
-            Phase::Told => self.state.next = Some((next, Phase::Joint)),
-            Phase::Joint => self.state.force = next,
-            Phase::Back => {}
-        }
-        self.state.step = self.state.step.next();
-        Ok(Applied::Stepped(self.state.step))
+    /// The replacement of a seat, if it is this one and so far.
+    fn at(&self, new: u64, hand: Hand) -> Option<Seating> {
+        self.seating.filter(|s| (s.new, s.hand) == (new, hand))
     }
 
-    /// From told on nobody acts on it yet; from joint on all have to be back before another change may begin.
-    fn abandon(&mut self, version: Version) -> Result<Applied, Refused> {
-        let Some((_, phase)) = self.state.next.as_mut().filter(|(n, _)| n.version == version) else {
-            return Err(Refused::Over);
-        };
-        match phase {
-            Phase::Told => self.state.next = None,
-            Phase::Joint => *phase = Phase::Back,
-            Phase::Back => return Err(Refused::Over),
+    /// Applies one entry. What it returns depends on the entries alone, so that every seat finds the same.
+    pub fn apply(&mut self, entry: Entry) -> Result<Applied, Refused> {
+        if let Some(known) = self.judge(&entry)? {
+            return Ok(Applied::Again(known));
         }
-        self.state.step = self.state.step.next();
-        Ok(Applied::Stepped(self.state.step))
+        Ok(match entry {
+            Entry::Propose { id, fields, why, .. } => {
+                self.given = Version(self.given.0 + 1);
+                let next = Settings { version: self.given, fields, why, id };
+                self.past.push_back(next.clone());
+                if self.past.len() > KEPT {
+                    self.past.pop_front();
+                }
+                self.state.next = Some((next, Phase::Told));
+                self.state.step = self.state.step.next();
+                Applied::Told(self.given)
+            }
+            Entry::Advance { .. } => {
+                match self.state.next.take() {
+                    Some((next, Phase::Told)) => self.state.next = Some((next, Phase::Joint)),
+                    Some((next, Phase::Joint)) => self.state.force = next,
+                    Some((_, Phase::Back)) | None => {}
+                }
+                self.state.step = self.state.step.next();
+                Applied::Stepped(self.state.step)
+            }
+            Entry::Abandon { .. } => {
+                // From told on nobody acts on it yet; from joint on all have to be back before another change may begin.
+                let joint = self.state.next.take().filter(|(_, phase)| *phase == Phase::Joint);
+                self.state.next = joint.map(|(next, _)| (next, Phase::Back));
+                self.state.step = self.state.step.next();
+                Applied::Stepped(self.state.step)
+            }
+            Entry::Join { member, name, .. } => {
+                self.roster.insert(member.id, (member.incarnation, name));
+                Applied::Roster
+            }
+            Entry::Leave { member } => {
+                if self.lists(member) {
+                    self.roster.remove(&member.id);
+                }
+                Applied::Roster
+            }
+            Entry::Seat { new, address, instead } => {
+                self.seating = Some(Seating { new, address, instead, hand: Hand::Learning });
+                Applied::Seats
+            }
+            Entry::Swap { new, .. } => {
+                self.seating.iter_mut().for_each(|s| s.hand = Hand::Both);
+                self.seats.extend(self.seating.map(|s| (new, s.address)));
+                Applied::Seats
+            }
+            Entry::Seated { .. } => {
+                if let Some(seating) = self.seating.take() {
+                    self.seats.remove(&seating.instead);
+                }
+                Applied::Seats
+            }
+            Entry::Unseat { .. } => {
+                self.seating = None;
+                Applied::Seats
+            }
+        })
     }
 }
--- a/decide/agree/tests/rules.rs
+++ b/decide/agree/tests/rules.rs
@@ -95,7 +95,7 @@
 
     #[test]
     fn the_log_never_jumps_and_forgets_no_version(entries in proptest::collection::vec((0u8..4, versions(), 0u64..6), 0..60)) {
-        let mut log = Log::new(Fields::new());
+        let mut log = Log::new(Fields::new(), []);
         let (mut step, mut force) = (Step(1), Version(1));
         for (sort, fields, n) in entries {
             let latest = log.state().latest();
@@ -130,7 +130,7 @@
 #[test]
 fn a_version_goes_by_told_and_joint_into_force() {
     let one = |n: i64| -> Fields { [("limit".to_string(), Value::Int(n))].into() };
-    let mut log = Log::new(one(4));
+    let mut log = Log::new(one(4), []);
     let propose =
         |id, base, n| Entry::Propose { id, base: Version(base), fields: one(n), why: "less".into() };
     assert_eq!(log.apply(propose(7, 1, 2)), Ok(Applied::Told(Version(2))));
@@ -149,7 +149,7 @@
 #[test]
 fn a_change_given_up_while_joint_goes_back_by_a_step_of_its_own() {
     let one = |n: i64| -> Fields { [("limit".to_string(), Value::Int(n))].into() };
-    let mut log = Log::new(one(4));
+    let mut log = Log::new(one(4), []);
     log.apply(Entry::Propose { id: 1, base: Version(1), fields: one(9), why: String::new() }).expect("told");
     log.apply(Entry::Advance { from: Step(2) }).expect("joint");
     log.apply(Entry::Abandon { version: Version(2) }).expect("back");
--- a/decide/agree/tests/stay.rs
+++ b/decide/agree/tests/stay.rs
@@ -20,7 +20,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let terms = Terms { span: SPAN, ppm: 10_000 };
     let fields = |n: i64| Fields::from([("classes.a.group".to_string(), Value::Int(n))]);
-    let mut log = Log::new(fields(0));
+    let mut log = Log::new(fields(0), []);
     let mut register = Register::new(terms, [], 0);
     let mut guests: Vec<Guest> = (0..3)
         .map(|n| {
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -52,7 +52,8 @@
     pub name: String,
     /// Its process, and where it is reached.
     pub me: Name,
-    /// The numbers of the front ends that keep the log, and where they are reached.
+    /// The numbers of the front ends that keep the log where the fleet begins, and where they are reached; by these one that
+    /// starts finds the fleet.
     pub seats: Vec<(u64, SocketAddr)>,
     /// Leases.
     pub lease: Terms,
@@ -117,7 +118,7 @@
         /// What.
         body: Body,
     },
-    /// Send to the seat of this number.
+    /// Send to the seat of this number, at [`Peer::address`].
     Seat {
         /// Which.
         to: u64,
@@ -180,6 +181,11 @@
         /// Who was not known to have come as far.
         behind: Vec<Member>,
     },
+    /// One that was to become a seat did not learn the log in time, and does not become one.
+    NotSeated {
+        /// Which.
+        new: u64,
+    },
     /// The seat's disk failed: it takes no entry until it is started again.
     Disk {
         /// Why.
@@ -229,12 +235,12 @@
                 let seats = tansy_seats::Setup {
                     me: me.id,
                     incarnation: me.incarnation,
-                    seats: setup.seats.iter().map(|s| s.0).collect(),
+                    seats: setup.seats.iter().copied().collect(),
                     terms: setup.lease,
                     first: held.first,
                     seed: setup.seed,
                 };
-                Some(Keeper::new(Seats::new(seats, &held.saved, now)?, setup.stay, now))
+                Some(Keeper::new(me.id, Seats::new(seats, &held.saved, now)?, setup.stay, now))
             }
             None => None,
         };
@@ -290,9 +296,25 @@
 
     /// Where the seat that leads is reached.
     pub fn root_address(&self) -> SocketAddr {
-        let all = &self.setup.seats;
-        let found = all.iter().find(|s| s.0 == self.root.id).or(all.first());
-        found.map_or(self.setup.me.address, |s| s.1)
+        let first = || self.setup.seats.first().map(|s| s.1);
+        self.address(self.root.id).or_else(first).unwrap_or(self.setup.me.address)
+    }
+
+    /// Who keeps the log, and where each is reached, as far as it is known here.
+    pub fn seats(&self) -> Vec<(u64, SocketAddr)> {
+        let agreed = self.agreed().map(|(_, log)| log.seats());
+        agreed.map_or_else(|| self.setup.seats.clone(), |s| s.iter().map(|(id, at)| (*id, *at)).collect())
+    }
+
+    /// Where a front end is reached.
+    pub fn address(&self, id: u64) -> Option<SocketAddr> {
+        let me = Some(&self.setup.me).filter(|me| me.id == id);
+        let member = || me.or_else(|| self.members.all().find(|n| n.id == id)).map(|n| n.address);
+        let log = self.agreed().map(|(_, log)| log);
+        let agreed = log.and_then(|l| l.seats().get(&id).copied());
+        let learns = || log.and_then(|l| l.seating()).filter(|s| s.new == id).map(|s| s.address);
+        let first = || self.setup.seats.iter().find(|s| s.0 == id).map(|s| s.1);
+        agreed.or_else(learns).or_else(first).or_else(member).or_else(|| self.heard.get(&id).copied())
     }
 
     /// What the change under way waits for, at the seat that leads.
@@ -410,14 +432,14 @@
                 }
             }
             Body::Stay(grant) => {
-                if self.setup.seats.iter().any(|s| s.0 == from.id) {
+                if from.id == self.root.id || self.seats().iter().any(|s| s.0 == from.id) {
                     self.unanswered = 0;
                     self.stay.granted(grant);
                 }
             }
             Body::Seats(bytes) => {
                 if let Some(keeper) = &mut self.keeper {
-                    keeper.hear(now, &bytes, out);
+                    keeper.hear(now, from.id, &bytes, out);
                 }
             }
             Body::Head => {}
@@ -476,9 +498,7 @@
     /// Puts addresses on letters; one to nobody known is dropped, as the network might.
     fn post(&mut self, letters: Vec<(u64, Message<State>)>, out: &mut Vec<Command>) {
         for (id, message) in letters {
-            let member = self.members.all().find(|n| n.id == id).map(|n| n.address);
-            let seat = self.setup.seats.iter().find(|s| s.0 == id).map(|s| s.1);
-            let to = seat.or(member).or_else(|| self.heard.get(&id).copied());
+            let to = self.address(id);
             out.extend(to.map(|to| Command::Send { to, body: Body::Lease(message) }));
         }
     }
@@ -504,19 +524,21 @@
         }
         self.unanswered += 1;
         // Who leads may be gone: then any seat may know who does by now.
-        let others = &self.setup.seats;
-        let to = match self.unanswered {
-            0..=UNANSWERED => self.root_address(),
-            n => others.get(n % others.len().max(1)).map_or(self.root_address(), |s| s.1),
+        let others = self.seats();
+        // Every other time, since those that are known here may all have been replaced.
+        let to = match self.unanswered.checked_sub(UNANSWERED) {
+            Some(n) if n % 2 == 1 => others.get(n / 2 % others.len().max(1)).map(|s| s.1),
+            _ => None,
         };
+        let to = to.unwrap_or_else(|| self.root_address());
         let digest = self.lists.digest();
         out.push(Command::Send { to, body: Body::AskStay(ask, name, digest) });
     }
 
     /// Another seat leads, as somebody says.
     fn learn(&mut self, root: Root) {
-        let seat = self.setup.seats.iter().any(|s| s.0 == root.id);
-        if root > self.root && seat && !self.leads {
+        // It says whom to ask, and is right only while that one grants: it may be a seat that is not known here yet.
+        if root > self.root && root.id != self.setup.me.id && !self.leads {
             self.root = root;
             self.front.knows(self.members.view(root.id));
         }
--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tansy_agree::lease::{Member, Terms, Time};
-use tansy_agree::log::{Applied, Entry, Log, Phase, Refused, State, Step};
+use tansy_agree::log::{Applied, Entry, Hand, Log, Phase, Refused, State, Step};
 use tansy_agree::member::Front;
 use tansy_agree::rule::Schema;
 use tansy_agree::stay::{self, Register};
@@ -14,6 +14,8 @@
 const WAITING: usize = 512;
 /// A change of strict fields that has gone joint, so that calls are refused for it, is given up after this time.
 const PATIENCE: Time = 10_000_000;
+/// One that is to become a seat and has not learnt the log after this time does not become one.
+const LEARNING: Time = 30_000_000;
 /// How often it is looked at who has left the roster, and whether a change goes on.
 const LOOK: Time = 50_000;
 
@@ -77,11 +79,13 @@
     proposed: VecDeque<u64>,
     broken: Option<String>,
     joint_since: Option<(Step, Time)>,
+    learns_since: Option<(u64, Time)>,
+    me: u64,
     next_look: Time,
 }
 
 impl Keeper {
-    pub(crate) fn new(seats: Seats, terms: Terms, now: Time) -> Keeper {
+    pub(crate) fn new(me: u64, seats: Seats, terms: Terms, now: Time) -> Keeper {
         Keeper {
             seats,
             terms,
@@ -90,6 +94,8 @@
             proposed: VecDeque::new(),
             broken: None,
             joint_since: None,
+            learns_since: None,
+            me,
             next_look: now,
         }
     }
@@ -124,9 +130,9 @@
         self.take(now, all, out);
     }
 
-    pub(crate) fn hear(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Command>) {
+    pub(crate) fn hear(&mut self, now: Time, from: u64, bytes: &[u8], out: &mut Vec<Command>) {
         let mut all = Vec::new();
-        self.seats.hear(bytes, &mut all);
+        self.seats.hear(from, bytes, &mut all);
         self.take(now, all, out);
     }
 
@@ -184,7 +190,7 @@
     pub(crate) fn begin(&mut self, now: Time) {
         let roster = self.seats.log().into_iter().flat_map(Log::roster).map(|(m, _)| m);
         self.register = Some(Register::new(self.terms, roster, now));
-        (self.joint_since, self.next_look) = (None, now);
+        (self.joint_since, self.learns_since, self.next_look) = (None, None, now);
     }
 
     /// It is the root no more.
@@ -254,6 +260,35 @@
         log.unsettled().then(|| Waits { leases: !front.reached(now, step), stays })
     }
 
+    /// Goes on with a seat's replacement: the new one learns the log, then both count, then the old one is out. Who is to
+    /// go and leads hands over first.
+    fn seat(&mut self, now: Time, out: &mut Vec<Command>) {
+        let seating = self.seats.log().and_then(Log::seating);
+        let Some(s) = seating.filter(|_| self.waiting.is_empty() && self.broken.is_none()) else {
+            self.learns_since = self.learns_since.filter(|_| seating.is_some());
+            return;
+        };
+        match s.hand {
+            Hand::Learning if self.seats.caught_up(s.new) => {
+                self.push(Entry::Swap { new: s.new, instead: s.instead });
+            }
+            Hand::Learning => {
+                let since = self.learns_since.filter(|l| l.0 == s.new).unwrap_or((s.new, now));
+                self.learns_since = Some(since);
+                if now - since.1 >= LEARNING {
+                    out.push(Command::Note(Note::NotSeated { new: s.new }));
+                    self.push(Entry::Unseat { new: s.new });
+                }
+            }
+            Hand::Both if s.instead == self.me => {
+                let mut all = Vec::new();
+                self.seats.hand_over(s.new, &mut all);
+                self.take(now, all, out);
+            }
+            Hand::Both => self.push(Entry::Seated { new: s.new }),
+        }
+    }
+
     /// Enters what the time has come for, and proposes the next entry; where it is the root.
     pub(crate) fn go_on(&mut self, now: Time, front: &Front<State>, schema: &Schema, out: &mut Vec<Command>) {
         let Some(register) = &self.register else { return };
@@ -283,6 +318,7 @@
                 self.push(Entry::Abandon { version });
             }
         }
+        self.seat(now, out);
         loop {
             // Those who come and go don't wait for each other: 300 that start at once are on the roster together. All else
             // is judged by a log in which everything before it is applied.
@@ -293,10 +329,10 @@
                 return;
             }
             // What changes nothing needs no word among the seats.
-            let answer = match log.clone().apply(p.entry.clone()) {
-                Ok(Applied::Again(v)) => Ok(Applied::Again(v)),
+            let answer = match log.judge(&p.entry) {
+                Ok(Some(v)) => Ok(Applied::Again(v)),
                 Err(e) => Err(Refusal::Log(e)),
-                Ok(_) => {
+                Ok(None) => {
                     let (entry, mut all) = (p.entry.clone(), Vec::new());
                     let Some(number) = self.seats.propose(entry, &mut all) else { return };
                     self.proposed.push_back(number);
--- a/decide/peer/tests/fleet.rs
+++ b/decide/peer/tests/fleet.rs
@@ -13,6 +13,11 @@
 const SECOND: i64 = 1_000_000;
 const STAY: i64 = 60 * SECOND;
 
+/// The number of the n-th one.
+fn id(n: usize) -> u64 {
+    n as u64 + 1
+}
+
 fn address(n: usize) -> SocketAddr {
     ([10, 0, 0, n as u8], 7000).into()
 }
@@ -33,7 +38,9 @@
     now: i64,
     all: Vec<Option<Peer>>,
     incarnations: Vec<u64>,
-    /// What the seats' disks hold, and whether the first one's is full.
+    /// How many begin as seats.
+    seats: usize,
+    /// What the disks of seats and of those that may become one hold, and whether the first one's is full.
     disks: Vec<Saved>,
     full: bool,
     mail: BinaryHeap<Reverse<(i64, u64)>>,
@@ -51,11 +58,16 @@
     }
 
     fn with_seats(size: usize, seats: usize) -> Fleet {
+        Fleet::with_disks(size, seats, seats)
+    }
+
+    fn with_disks(size: usize, seats: usize, disks: usize) -> Fleet {
         let mut fleet = Fleet {
             now: 0,
+            seats,
             all: Vec::new(),
             incarnations: vec![0; size],
-            disks: vec![Saved::default(); seats],
+            disks: vec![Saved::default(); disks],
             full: false,
             mail: BinaryHeap::new(),
             letters: BTreeMap::new(),
@@ -75,8 +87,8 @@
         let setup = Setup {
             fleet: 7,
             name: format!("f{n}"),
-            me: Name::new(n as u64, self.incarnations[n], address(n)),
-            seats: (0..self.disks.len()).map(|n| (n as u64, address(n))).collect(),
+            me: Name::new(id(n), self.incarnations[n], address(n)),
+            seats: (0..self.seats).map(|n| (id(n), address(n))).collect(),
             lease: Terms { span: SECOND * 6 / 10, ppm: 1_000 },
             stay: Terms { span: STAY, ppm: 1_000 },
             pace: Pace::default(),
@@ -103,7 +115,7 @@
         for command in out {
             let command = match command {
                 Command::Seat { to, bytes } => {
-                    Command::Send { to: address(to as usize), body: Body::Seats(bytes) }
+                    Command::Send { to: address(to as usize - 1), body: Body::Seats(bytes) }
                 }
                 command => command,
             };
@@ -230,7 +242,7 @@
     f.run(20.0);
     assert_eq!(f.log().state().force.version, Version(2), "a strict one does");
     let waits = f.all[0].as_ref().and_then(|p| p.waits(f.now)).expect("a change goes on");
-    assert_eq!(waits.stays.iter().map(|m| m.id).collect::<Vec<_>>(), [4]);
+    assert_eq!(waits.stays.iter().map(|m| m.id).collect::<Vec<_>>(), [id(4)]);
     assert!(!waits.leases);
     f.run(45.0);
     assert_eq!(f.force()[..4], vec![Some(3); 4], "its stay is out by now");
@@ -268,7 +280,7 @@
     f.propose(2, 2, fields("all", 4));
     f.run(5.0);
     assert_eq!(f.log().state().force.version, Version(2));
-    let member = f.log().roster().find(|(m, _)| m.id == 5).map(|(m, _)| m).expect("it is on the roster");
+    let member = f.log().roster().find(|(m, _)| m.id == id(5)).map(|(m, _)| m).expect("it is on the roster");
     f.act(0, |p, now, out| p.request(now, 3, Entry::Leave { member }, out));
     f.run(3.0);
     assert_eq!(f.force()[2..5], vec![Some(3); 3]);
@@ -423,3 +435,86 @@
     f.run(8.0);
     assert_eq!(f.force(), vec![Some(2); 9]);
 }
+
+impl Fleet {
+    fn replace(&mut self, request: u64, new: usize, instead: usize) {
+        let entry = Entry::Seat { new: id(new), address: address(new), instead: id(instead) };
+        let root = self.root();
+        self.act(root, |p, now, out| p.request(now, request, entry, out));
+    }
+
+    fn seats_now(&self) -> Vec<usize> {
+        self.log().seats().keys().map(|id| *id as usize - 1).collect()
+    }
+}
+
+#[test]
+fn a_seat_is_replaced_while_another_is_dead_and_the_new_ones_carry_on_alone() {
+    let mut f = Fleet::with_disks(9, 3, 6);
+    f.run(6.0);
+    // One is dead, and is replaced; then so is another that lives, the one that leads.
+    let dead = (0..3).find(|n| *n != f.root()).expect("two others");
+    f.all[dead] = None;
+    f.run(3.0);
+    f.replace(1, 3, dead);
+    f.run(5.0);
+    assert_eq!(f.answers[&1], Ok(Applied::Seats));
+    assert!(f.seats_now().contains(&3) && !f.seats_now().contains(&dead), "{:?}", f.seats_now());
+    for new in [4, 5] {
+        let old = f.root();
+        f.replace(new as u64, new, old);
+        f.run(6.0);
+        assert!(f.seats_now().contains(&new) && !f.seats_now().contains(&old), "{:?}", f.seats_now());
+        assert_ne!(f.root(), old, "who is to go hands over first");
+    }
+    // Whoever is no seat any more may go: the others carry on, also from their disks.
+    let seats = f.seats_now();
+    (0..3).filter(|n| !seats.contains(n)).for_each(|n| f.all[n] = None);
+    f.propose(7, 1, fields("zone", 2));
+    f.run(3.0);
+    assert_eq!(f.log().state().force.version, Version(2));
+    seats.iter().for_each(|n| f.all[*n] = None);
+    f.run(1.0);
+    seats.iter().for_each(|n| f.start(*n));
+    f.run(6.0);
+    assert_eq!(f.seats_now(), seats, "a seat goes on from its disk, whatever its settings say");
+    f.propose(8, 2, fields("zone", 3));
+    f.run(5.0);
+    let force = f.force();
+    assert!(seats.iter().all(|n| force[*n] == Some(3)), "{force:?}");
+}
+
+#[test]
+fn the_only_seat_is_replaced() {
+    let mut f = Fleet::with_disks(4, 1, 2);
+    f.run(5.0);
+    f.replace(1, 1, 0);
+    f.run(5.0);
+    assert_eq!((f.seats_now(), f.root()), (vec![1], 1));
+    f.all[0] = None;
+    f.propose(2, 1, fields("zone", 2));
+    f.run(3.0);
+    assert_eq!(f.force()[1..], [Some(2); 3]);
+}
+
+#[test]
+fn one_that_does_not_learn_the_log_becomes_no_seat() {
+    let mut f = Fleet::with_disks(6, 3, 3);
+    f.run(6.0);
+    // It was started without a file.
+    f.replace(1, 4, 0);
+    f.replace(2, 5, 1);
+    f.run(5.0);
+    assert_eq!(f.answers[&2], Err(Refusal::Log(Refused::Seating)), "one at a time");
+    f.propose(3, 1, fields("zone", 2));
+    f.run(4.0);
+    assert_eq!(f.force(), vec![Some(2); 6], "one that learns holds nothing up");
+    f.run(30.0);
+    assert!(f.notes.iter().any(|(_, note)| matches!(note, Note::NotSeated { new } if *new == id(4))));
+    assert_eq!((f.seats_now(), f.log().seating()), (vec![0, 1, 2], None));
+    f.replace(4, 0, 1);
+    f.replace(5, 4, 4);
+    f.run(0.1);
+    assert_eq!(f.answers[&4], Err(Refusal::Log(Refused::IsSeat)));
+    assert_eq!(f.answers[&5], Err(Refusal::Log(Refused::NoSeat)));
+}
--- a/decide/seats/src/lib.rs
+++ b/decide/seats/src/lib.rs
@@ -12,14 +12,16 @@
 mod wire;
 
 use mem::Mem;
-use raft::eraftpb::{HardState, MessageType};
+use raft::eraftpb::{EntryType, HardState, MessageType};
 use raft::{Config, RawNode, ReadOnlyOption, StateRole};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use tansy_agree::lease::{Terms, Time};
 use tansy_agree::log::{Applied, Entry, Log, Refused};
 use tansy_agree::rule::Fields;
-use wire::{Ent, Snap};
+use wire::{Conf, Ent, Snap};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between two ticks, microseconds.
 const TICK: Time = 50_000;
@@ -33,9 +35,14 @@
 const KEEP: u64 = 256;
 /// Records after which the whole takes their place on disk.
 const WHOLE_EVERY: u64 = 256;
+/// Entries applied after which the log is encoded again, for seats that lag by more.
+const ENCODE_EVERY: u64 = 32;
 /// Rounds that may be unanswered.
 const ROUNDS: usize = 32;
 
+/// Of what is held. Files of the first form, whose seats stood in the settings alone, began with a term, which is over 0.
+const FORM: u64 = 0;
+
 /// What a disk holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Saved {
@@ -69,6 +76,8 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Whole {
+    /// [`FORM`].
+    form: u64,
     hard: (u64, u64, u64),
     base: (u64, u64),
     entries: Vec<Ent>,
@@ -78,8 +87,8 @@
 /// What stands in an entry of the order.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Said {
-    /// The fields that the fleet begins with; the first of these counts.
-    Begin(Fields),
+    /// The fields and the seats that the fleet begins with; the first of these counts.
+    Begin(Fields, BTreeMap<u64, SocketAddr>),
     /// An entry of the log, with its proposer's seat, process and number.
     Entry(u64, u64, u64, Entry),
 }
@@ -119,8 +128,9 @@
     pub me: u64,
     /// Its process; a later one has a larger number.
     pub incarnation: u64,
-    /// All of them, itself among them.
-    pub seats: Vec<u64>,
+    /// Those that a fleet which begins has, and where each is reached. One that is not among them learns the log when it is
+    /// to take over from another, and is no seat until then.
+    pub seats: BTreeMap<u64, SocketAddr>,
     /// Of leases.
     pub terms: Terms,
     /// The fields that a fleet which begins has first.
@@ -132,9 +142,6 @@
 /// One seat.
 pub struct Seats {
     setup: Setup,
-    /// The seats in an order that all have; the library knows each by its place in it, from 1.
-    order: Vec<u64>,
-    me: u64,
     node: RawNode<Mem>,
     log: Option<Log>,
     applied: u64,
@@ -148,6 +155,8 @@
     until: Option<Time>,
     /// Records that the disk has not answered for, with what may be sent once it has.
     held: VecDeque<(u64, Vec<Vec<u8>>, Vec<u64>)>,
+    /// Of these the ones that hold a whole taken over from another seat: nothing after it is applied before that.
+    wholes: VecDeque<u64>,
     records: u64,
     next_number: u64,
     began: bool,
@@ -160,19 +169,27 @@
     /// A seat that goes on from what its disk holds.
     pub fn new(setup: Setup, saved: &Saved, now: Time) -> Result<Seats, Unreadable> {
         let bad = |record: usize| move |e: postcard::Error| Unreadable { record, why: e.to_string() };
-        let mut order = setup.seats.clone();
-        order.sort();
-        order.dedup();
-        let me = order.iter().zip(1..).find(|(n, _)| **n == setup.me).map(|p| p.1);
-        let me = me.ok_or_else(|| Unreadable { record: 0, why: "it is none of the seats".into() })?;
-        let voters: Vec<u64> = order.iter().zip(1..).map(|p| p.1).collect();
-        let mut mem = Mem { voters: voters.clone(), ..Mem::default() };
-        mem.latest.voters = voters;
+        if setup.me == 0 || setup.seats.contains_key(&0) {
+            return Err(Unreadable { record: 0, why: "a seat's number is 0".into() });
+        }
+        let mut mem = Mem::default();
+        if setup.seats.contains_key(&setup.me) {
+            // The seats that the order begins with stand before its first entry, as an entry that nobody has: whoever is
+            // not among them has to learn them with a whole.
+            let voters: Vec<u64> = setup.seats.keys().copied().collect();
+            let first = xxh3_64(&postcard::to_stdvec(&voters).map_err(bad(0))?).max(1);
+            let conf = Conf { voters, ..Conf::default() };
+            mem.restore(Snap { index: 1, term: 1, conf, first, log: Vec::new() });
+        }
         if let Some(bytes) = &saved.whole {
             let whole: Whole = postcard::from_bytes(bytes).map_err(bad(0))?;
+            if whole.form != FORM {
+                let why = "it is of a form that this program does not know".into();
+                return Err(Unreadable { record: 0, why });
+            }
             mem.hard = hard(whole.hard);
             (mem.base, mem.latest) = (whole.base, whole.latest);
-            mem.entries = whole.entries.into_iter().map(wire::of_ent).collect();
+            mem.entries = whole.entries.into_iter().filter_map(wire::of_ent).collect();
         }
         for (n, bytes) in saved.records.iter().enumerate() {
             let Record::Ready { hard: h, entries, snapshot } =
@@ -180,7 +197,7 @@
             if let Some(s) = snapshot {
                 mem.restore(s);
             }
-            mem.append(&entries.into_iter().map(wire::of_ent).collect::<Vec<_>>());
+            mem.append(&entries.into_iter().filter_map(wire::of_ent).collect::<Vec<_>>());
             if let Some(h) = h {
                 mem.hard = hard(h);
             }
@@ -193,7 +210,7 @@
             false => Some(postcard::from_bytes(&mem.latest.log).map_err(bad(0))?),
         };
         let config = Config {
-            id: me,
+            id: setup.me,
             election_tick: ELECTION,
             heartbeat_tick: ROUND,
             applied,
@@ -211,8 +228,6 @@
         let rng = fastrand::Rng::with_seed(setup.seed);
         let mut seats = Seats {
             setup,
-            order,
-            me,
             node,
             log,
             applied,
@@ -223,6 +238,7 @@
             round: 0,
             until: None,
             held: VecDeque::new(),
+            wholes: VecDeque::new(),
             records: saved.records.len() as u64,
             next_number: 1,
             began: false,
@@ -231,13 +247,36 @@
             timeout_term: None,
         };
         seats.draw();
-        if seats.setup.seats.len() == 1 {
+        if seats.alone() {
             // Nobody to wait for.
             let _ = seats.node.campaign();
         }
         Ok(seats)
     }
 
+    fn conf(&self) -> &Conf {
+        &self.node.store().latest.conf
+    }
+
+    /// Whether it is the only seat.
+    fn alone(&self) -> bool {
+        self.conf().voters == [self.setup.me] && self.conf().outgoing.is_empty()
+    }
+
+    /// Whether one that learns the log knows all of it that is agreed on, as far as it answered; only the leader knows.
+    pub fn caught_up(&self, id: u64) -> bool {
+        let raft = &self.node.raft;
+        raft.prs().get(id).is_some_and(|p| p.matched >= raft.raft_log.committed)
+    }
+
+    /// Hands leadership over to another seat, if that is well; it may come to nothing.
+    pub fn hand_over(&mut self, to: u64, out: &mut Vec<Out>) {
+        if self.node.raft.lead_transferee.is_none() {
+            self.node.transfer_leader(to);
+            self.collect(out);
+        }
+    }
+
     /// The log as far as it is known to be agreed on here; none: the fleet has not begun.
     pub fn log(&self) -> Option<&Log> {
         self.log.as_ref()
@@ -250,7 +289,7 @@
 
     /// The seat that leads, as far as this one knows, and the term of that.
     pub fn leader(&self) -> Option<(u64, u64)> {
-        Some((self.node.raft.term, seat(&self.order, self.node.raft.leader_id)?))
+        Some((self.node.raft.term, self.node.raft.leader_id)).filter(|l| l.1 != 0)
     }
 
     /// Until when it may act as the fleet's root; none: it may not.
@@ -261,7 +300,7 @@
 
     /// When [`Seats::tick`] has something to do.
     pub fn next(&self) -> Time {
-        if self.broken && self.setup.seats.len() > 1 {
+        if self.broken && !self.alone() {
             return Time::MAX;
         }
         self.next_tick
@@ -269,7 +308,7 @@
 
     /// What time brings.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Out>) {
-        if self.broken && self.setup.seats.len() > 1 {
+        if self.broken && !self.alone() {
             return;
         }
         while now >= self.next_tick {
@@ -278,6 +317,12 @@
             // After a stop of the process the time that passed is one tick, not many: the others have their own clocks.
             self.next_tick = if now - self.next_tick > 4 * TICK { now + TICK } else { self.next_tick + TICK };
         }
+        let seat = |c: &Conf| c.voters.contains(&self.setup.me) || c.outgoing.contains(&self.setup.me);
+        if self.node.raft.state == StateRole::Leader && !seat(self.conf()) {
+            // The end of its own seat was agreed on while it led: another has to.
+            let to = self.rng.choice(self.conf().voters.clone()).unwrap_or(0);
+            self.hand_over(to, out);
+        }
         if self.node.raft.state != StateRole::Leader {
             self.rounds.clear();
             self.until = None;
@@ -294,12 +339,16 @@
         self.collect(out);
     }
 
-    /// Takes a message of another seat.
-    pub fn hear(&mut self, bytes: &[u8], out: &mut Vec<Out>) {
+    /// Takes a message of the seat of this number.
+    pub fn hear(&mut self, from: u64, bytes: &[u8], out: &mut Vec<Out>) {
         if self.broken {
             return;
         }
-        let Some(m) = wire::read(bytes, self.me, &self.node.store().voters) else { return };
+        let here = self.node.store().latest.first;
+        let Some((m, first)) = wire::read(bytes, from, self.setup.me, here) else { return };
+        if here == 0 {
+            self.node.mut_store().latest.first = first;
+        }
         let last = self.node.raft.raft_log.last_index();
         let committed = self.node.raft.raft_log.committed;
         // What contradicts the log here: its disk lost what it had acknowledged, or the other's did.
@@ -330,7 +379,17 @@
     fn say(&mut self, said: &Said) -> bool {
         let leads = self.node.raft.state == StateRole::Leader && !self.broken;
         let bytes = postcard::to_stdvec(said).unwrap_or_default();
-        leads && self.node.propose(Vec::new(), bytes).is_ok()
+        let change = match said {
+            Said::Entry(_, _, _, entry) => wire::change(entry),
+            Said::Begin(..) => None,
+        };
+        match change {
+            _ if !leads => false,
+            None => self.node.propose(Vec::new(), bytes).is_ok(),
+            // The library would take it for nothing, without a word.
+            Some(_) if self.node.raft.has_pending_conf() => false,
+            Some(change) => self.node.propose_conf_change(bytes, change).is_ok(),
+        }
     }
 
     /// The first record that the disk was given is held, or can't be. Then this seat takes part no more.
@@ -340,15 +399,21 @@
             return;
         }
         let Some((number, messages, to)) = self.held.pop_front() else { return };
-        let order = &self.order;
-        let sent = messages.into_iter().zip(to);
-        out.extend(sent.filter_map(|(bytes, to)| Some(Out::Send { to: seat(order, to)?, bytes })));
+        out.extend(messages.into_iter().zip(to).map(|(bytes, to)| Out::Send { to, bytes }));
         if !self.broken {
             self.node.on_persist_ready(number);
+            self.wholes.retain(|n| *n > number);
+            self.applied_all();
             self.collect(out);
         }
     }
 
+    fn applied_all(&mut self) {
+        if self.wholes.is_empty() {
+            self.node.advance_apply();
+        }
+    }
+
     /// Whether its disk failed.
     pub fn broken(&self) -> bool {
         self.broken
@@ -368,21 +433,22 @@
     fn collect(&mut self, out: &mut Vec<Out>) {
         while self.node.has_ready() {
             let mut ready = self.node.ready();
-            send(&self.order, ready.take_messages(), out);
+            let first = self.node.store().latest.first;
+            send(ready.take_messages(), first, out);
             let mut snapshot = None;
             if !ready.snapshot().get_metadata().get_conf_state().voters.is_empty() {
-                let snap = wire::snap(ready.snapshot());
+                let snap = wire::snap(ready.snapshot(), first);
                 if let Ok(log) = postcard::from_bytes(&snap.log) {
                     (self.log, self.applied, self.term) = (Some(log), snap.index, snap.term);
                 }
                 self.node.mut_store().restore(snap.clone());
                 snapshot = Some(snap);
+                self.wholes.push_back(ready.number());
             }
             let entries = ready.take_entries();
             self.node.mut_store().append(&entries);
-            let hard = ready.hs().cloned();
-            if let Some(h) = &hard {
-                self.node.mut_store().hard = h.clone();
+            if let Some(h) = ready.hs().cloned() {
+                self.node.mut_store().hard = h;
             }
             for state in ready.take_read_states() {
                 let round = state.request_ctx.as_slice().try_into().map(u64::from_be_bytes).unwrap_or(0);
@@ -398,14 +464,18 @@
             let number = ready.number();
             let writes = ready.must_sync() || snapshot.is_some() || !entries.is_empty();
             if writes {
-                let hard = hard.map(|h| (h.term, h.vote, h.commit));
+                // What is known to be agreed on is held with what follows on it: a seat that starts again is at most one
+                // change of the seats behind, since the next is proposed by one that knows the last to be agreed on.
+                let h = &self.node.store().hard;
+                let hard = Some((h.term, h.vote, h.commit));
                 let record =
                     Record::Ready { hard, entries: entries.iter().map(wire::ent).collect(), snapshot };
                 let record = postcard::to_stdvec(&record).unwrap_or_default();
                 self.records += 1;
-                let whole = self.records.is_multiple_of(WHOLE_EVERY).then(|| self.whole());
+                let whole =
+                    (self.records == 1 || self.records.is_multiple_of(WHOLE_EVERY)).then(|| self.whole());
                 let to = persisted.iter().map(|m| m.to).collect();
-                let messages = persisted.iter().map(wire::bytes).collect();
+                let messages = persisted.iter().map(|m| wire::bytes(m, first)).collect();
                 self.held.push_back((number, messages, to));
                 out.push(Out::Hold { record, whole });
                 self.node.advance_append_async(ready);
@@ -414,23 +484,23 @@
                 match self.held.back_mut() {
                     Some((n, messages, to)) => {
                         *n = number;
-                        messages.extend(persisted.iter().map(wire::bytes));
+                        messages.extend(persisted.iter().map(|m| wire::bytes(m, first)));
                         to.extend(persisted.iter().map(|m| m.to));
                         self.node.advance_append_async(ready);
                     }
                     None => {
-                        send(&self.order, persisted, out);
+                        send(persisted, first, out);
                         self.node.advance_append_async(ready);
                         self.node.on_persist_ready(number);
                     }
                 }
             }
             self.apply(committed, out);
-            self.node.advance_apply();
+            self.applied_all();
         }
         if !self.began && self.log.is_none() && self.node.raft.state == StateRole::Leader {
             self.began = true;
-            let first = Said::Begin(self.setup.first.clone());
+            let first = Said::Begin(self.setup.first.clone(), self.setup.seats.clone());
             if self.say(&first) {
                 self.collect(out);
             }
@@ -441,23 +511,36 @@
         if entries.is_empty() {
             return;
         }
+        let mut seats = false;
         for e in entries {
             (self.applied, self.term) = (e.index, e.term);
-            match postcard::from_bytes(&e.data) {
-                Ok(Said::Begin(fields)) if self.log.is_none() => self.log = Some(Log::new(fields)),
+            let said = if e.get_entry_type() == EntryType::EntryNormal { &e.data } else { &e.context };
+            match postcard::from_bytes(said) {
+                Ok(Said::Begin(fields, seats)) if self.log.is_none() => {
+                    self.log = Some(Log::new(fields, seats));
+                }
                 Ok(Said::Entry(seat, incarnation, number, entry)) => {
                     let mine = (seat, incarnation) == (self.setup.me, self.setup.incarnation);
                     if let Some(log) = &mut self.log {
                         let outcome = log.apply(entry.clone());
+                        // Who keeps the log changes with the log that says so, in the same place of the order.
+                        let change = wire::change(&entry).filter(|_| outcome.is_ok());
+                        if let Some(Ok(conf)) = change.map(|c| self.node.apply_conf_change(&c)) {
+                            self.node.mut_store().latest.conf = wire::conf(&conf);
+                            seats = true;
+                        }
                         out.push(Out::Applied { mine: mine.then_some(number), entry, outcome });
                     }
                 }
                 // The library's own entry at the start of a term is empty.
-                Ok(Said::Begin(_)) | Err(_) => {}
+                Ok(Said::Begin(..)) | Err(_) => {}
             }
         }
-        let log = self.log.as_ref().and_then(|l| postcard::to_stdvec(l).ok()).unwrap_or_default();
         let (index, term) = (self.applied, self.term);
+        if !seats && index - self.node.store().latest.index < ENCODE_EVERY {
+            return;
+        }
+        let log = self.log.as_ref().and_then(|l| postcard::to_stdvec(l).ok()).unwrap_or_default();
         let mem = self.node.mut_store();
         if !log.is_empty() {
             (mem.latest.index, mem.latest.term, mem.latest.log) = (index, term, log);
@@ -472,6 +555,7 @@
         let mem = self.node.store();
         let h = &mem.hard;
         let whole = Whole {
+            form: FORM,
             hard: (h.term, h.vote, h.commit),
             base: mem.base,
             entries: mem.entries.iter().map(wire::ent).collect(),
@@ -485,12 +569,6 @@
     HardState { term, vote, commit, ..Default::default() }
 }
 
-/// The seat that the library knows by this place.
-fn seat(order: &[u64], id: u64) -> Option<u64> {
-    order.get(usize::try_from(id.checked_sub(1)?).ok()?).copied()
-}
-
-fn send(order: &[u64], messages: Vec<raft::eraftpb::Message>, out: &mut Vec<Out>) {
-    let one = |m: &raft::eraftpb::Message| Some(Out::Send { to: seat(order, m.to)?, bytes: wire::bytes(m) });
-    out.extend(messages.iter().filter_map(one));
+fn send(messages: Vec<raft::eraftpb::Message>, first: u64, out: &mut Vec<Out>) {
+    out.extend(messages.iter().map(|m| Out::Send { to: m.to, bytes: wire::bytes(m, first) }));
 }
--- a/decide/seats/src/mem.rs
+++ b/decide/seats/src/mem.rs
@@ -1,17 +1,16 @@
 //! The library's view of what is held: entries after a snapshot, in memory; the disk holds the same.
 
-use crate::wire::{of_snap, Snap};
-use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use crate::wire::{of_conf, of_snap, Snap};
+use raft::eraftpb::{Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Result, Storage, StorageError};
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mem {
     pub(crate) hard: HardState,
-    pub(crate) voters: Vec<u64>,
     /// What the entries follow on: the last one that is not there any more.
     pub(crate) base: (u64, u64),
     pub(crate) entries: Vec<Entry>,
-    /// The log as of the last entry that was applied.
+    /// The log and the seats as of the last entry that was applied.
     pub(crate) latest: Snap,
 }
 
@@ -50,8 +49,7 @@
 
 impl Storage for Mem {
     fn initial_state(&self) -> Result<RaftState> {
-        let conf = ConfState { voters: self.voters.clone(), ..Default::default() };
-        Ok(RaftState::new(self.hard.clone(), conf))
+        Ok(RaftState::new(self.hard.clone(), of_conf(self.latest.conf.clone())))
     }
 
     fn entries(
--- a/decide/seats/tests/seats.rs
+++ b/decide/seats/tests/seats.rs
@@ -32,7 +32,7 @@
 }
 
 enum Event {
-    Letter(usize, Vec<u8>),
+    Letter(usize, u64, Vec<u8>),
     Synced(usize, u64),
 }
 
@@ -51,11 +51,23 @@
     /// Told before it is synced: a mistake.
     unsynced: bool,
     forked: bool,
+    /// How many the order begins with.
+    first: usize,
+}
+
+fn at(n: u64) -> std::net::SocketAddr {
+    ([10, 0, 0, n as u8], 7000).into()
 }
 
 impl Group {
     fn new(size: usize, seed: u64) -> Group {
+        Group::with(size, size, seed)
+    }
+
+    /// So many, of which the first ones begin as seats.
+    fn with(size: usize, first: usize, seed: u64) -> Group {
         let mut g = Group {
+            first,
             now: 0,
             rng: fastrand::Rng::with_seed(seed),
             all: Vec::new(),
@@ -80,7 +92,7 @@
         let setup = Setup {
             me: n as u64 + 1,
             incarnation: self.lives[n],
-            seats: (1..=self.all.len() as u64).collect(),
+            seats: (1..=self.first as u64).map(|n| (n, at(n))).collect(),
             terms: Terms { span: SECOND * 6 / 10, ppm: 1000 },
             first: fields(n as i64),
             seed: self.rng.u64(..),
@@ -113,7 +125,7 @@
                     let to = to as usize - 1;
                     if !self.cut.contains(&(n, to)) && self.rng.u32(0..50) > 0 {
                         let late = self.rng.i64(200..20_000);
-                        self.plan(late, Event::Letter(to, bytes));
+                        self.plan(late, Event::Letter(to, n as u64 + 1, bytes));
                     }
                 }
                 Out::Hold { record, whole } => {
@@ -146,7 +158,7 @@
             while let Some(Reverse((_, id))) = self.queue.peek().copied().filter(|e| e.0 .0 <= self.now) {
                 self.queue.pop();
                 match self.events.remove(&id).expect("an event") {
-                    Event::Letter(to, bytes) => self.act(to, |s, _, out| s.hear(&bytes, out)),
+                    Event::Letter(to, from, bytes) => self.act(to, |s, _, out| s.hear(from, &bytes, out)),
                     Event::Synced(n, life) => {
                         if self.lives[n] == life && self.all[n].is_some() {
                             self.disks[n].sync();
@@ -316,20 +328,33 @@
 
 #[test]
 fn no_bytes_end_a_seat() {
-    let mut g = Group::new(3, 5);
+    let mut g = Group::with(4, 3, 5);
     g.run(2.0);
     let mut letters = Vec::new();
-    for _ in 0..400 {
-        g.propose(1);
+    for n in 0..400 {
+        let seating = match n {
+            100 => Some(Entry::Seat { new: 4, address: at(4), instead: 3 }),
+            200 => Some(Entry::Swap { new: 4, instead: 3 }),
+            300 => Some(Entry::Seated { new: 4 }),
+            _ => None,
+        };
+        match (seating, g.root()) {
+            (Some(entry), Some(root)) => g.act(root, |s, _, out| {
+                s.propose(entry, out);
+            }),
+            _ => g.propose(n),
+        }
         g.run(0.01);
         letters.extend(g.events.values().filter_map(|e| match e {
-            Event::Letter(to, bytes) => Some((*to, bytes.clone())),
+            Event::Letter(to, from, bytes) => Some((*to, *from, bytes.clone())),
             Event::Synced(..) => None,
         }));
     }
     assert!(letters.len() > 300, "{}", letters.len());
+    let seats = g.all[0].as_ref().and_then(Seats::log).map(|l| l.seats().keys().copied().collect::<Vec<_>>());
+    assert_eq!(seats, Some(vec![1, 2, 4]), "letters of a replacement are among them");
     for n in 0..60_000 {
-        let (to, mut bytes) = letters[n % letters.len()].clone();
+        let (to, from, mut bytes) = letters[n % letters.len()].clone();
         for _ in 0..g.rng.usize(1..4) {
             let at = g.rng.usize(0..bytes.len());
             match g.rng.u32(0..3) {
@@ -338,7 +363,7 @@
                 _ => bytes[at] = g.rng.u8(..),
             }
         }
-        g.act(to, |s, _, out| s.hear(&bytes, out));
+        g.act(to, |s, _, out| s.hear(from, &bytes, out));
         g.queue.clear();
         g.events.clear();
     }
--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -52,6 +52,10 @@
     pub calm: Time,
     /// Changes proposed.
     pub changes: usize,
+    /// Front ends beside the seats that may become seats, and how often one of them is to take over from a seat.
+    pub spares: usize,
+    /// See [`Play::spares`].
+    pub replacements: usize,
     /// How messages travel.
     pub ways: Ways,
     /// A mistake.
@@ -71,6 +75,8 @@
             until: 40 * SECOND,
             calm: 18 * SECOND,
             changes: 12,
+            spares: 0,
+            replacements: 0,
             ways: Ways::default(),
             plant: None,
             quiet: false,
@@ -87,6 +93,8 @@
     pub broken: Vec<String>,
     /// Versions that came into force.
     pub in_force: u64,
+    /// Seats that were replaced.
+    pub replaced: u64,
     /// From a proposal to force at every front end that can be reached, milliseconds each.
     pub force_ms: Vec<u64>,
     /// Share of front ends' time up in which they held no live lease.
@@ -187,6 +195,11 @@
     ([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7000).into()
 }
 
+/// The number of a front end.
+fn id(n: usize) -> u64 {
+    n as u64 + 1
+}
+
 fn place(address: SocketAddr) -> usize {
     match address.ip() {
         std::net::IpAddr::V4(ip) => ip.octets()[1..].iter().fold(0, |n, o| n << 8 | usize::from(*o)),
@@ -203,6 +216,7 @@
     Pause { who: usize },
     Wake { who: usize },
     Propose,
+    Replace,
     Abandon,
     Synced { who: usize, incarnation: u64 },
 }
@@ -288,7 +302,9 @@
     /// What is agreed on, as the seat has it that applied most, and how many entries that is.
     agreed: Option<(u64, State, bool)>,
     /// The same at each number of entries.
-    states: BTreeMap<u64, State>,
+    states: BTreeMap<u64, (State, Vec<u64>)>,
+    /// Who keeps the log, by what is agreed on.
+    seats: Vec<u64>,
     schema: Schema,
     judged: BTreeSet<(u64, u64, Right)>,
     proposed: BTreeMap<Version, Time>,
@@ -363,9 +379,10 @@
             events: BTreeMap::new(),
             numbers: 0,
             all,
-            disks: (0..play.seats).map(|_| Disk::default()).collect(),
+            disks: (0..(play.seats + play.spares).min(play.fronts)).map(|_| Disk::default()).collect(),
             agreed: None,
             states: BTreeMap::new(),
+            seats: Vec::new(),
             schema: schema(),
             judged: BTreeSet::new(),
             proposed: BTreeMap::new(),
@@ -393,6 +410,10 @@
                 _ => {}
             }
         }
+        for _ in 0..play.replacements {
+            let at = run.rng.i64(SECOND..play.until + play.calm / 4);
+            run.plan(at, Event::Replace);
+        }
         for _ in 0..play.changes {
             let at = run.rng.i64(SECOND..play.until + play.calm / 4);
             run.plan(at, Event::Propose);
@@ -439,7 +460,7 @@
                 self.account(who);
                 let p = &mut self.all[who];
                 (p.peer, p.stopped, p.planned) = (None, None, Time::MAX);
-                if who < self.play.seats {
+                if who < self.disks.len() {
                     // What was not synced is lost, or some of it, or none.
                     let kept = self.rng.usize(0..=self.disks[who].written.len());
                     (0..kept).for_each(|_| self.disks[who].sync());
@@ -463,6 +484,15 @@
                 let entry = Entry::Propose { id, base, fields, why: "a change".into() };
                 self.act(root, |p, now, out| p.request(now, id, entry, out));
             }
+            Event::Replace => {
+                let Some((root, _)) = self.root() else { return };
+                let candidate = self.rng.usize(0..self.disks.len());
+                let Some(&instead) = self.seats.get(self.rng.usize(0..self.seats.len().max(1))) else {
+                    return;
+                };
+                let entry = Entry::Seat { new: id(candidate), address: address(candidate), instead };
+                self.act(root, |p, now, out| p.request(now, 0, entry, out));
+            }
             Event::Abandon => {
                 let Some((root, state)) = self.root() else { return };
                 if let Some((next, _)) = state.next {
@@ -508,12 +538,12 @@
         let setup = Setup {
             fleet: 1,
             name: format!("f{who}"),
-            me: Name::new(who as u64, p.incarnation, address(who)),
-            seats: (0..play.seats).map(|n| (n as u64, address(n))).collect(),
+            me: Name::new(id(who), p.incarnation, address(who)),
+            seats: (0..play.seats).map(|n| (id(n), address(n))).collect(),
             lease: play.terms,
             stay: Terms { span: play.stay, ..play.terms },
             pace: Pace { size: play.fronts as u32, ..Pace::default() },
-            schema: if who < play.seats { schema_with(strict) } else { schema() },
+            schema: if who < self.disks.len() { schema_with(strict) } else { schema() },
             seed,
         };
         let now = p.local(self.now);
@@ -529,11 +559,12 @@
     fn agree(&mut self, who: usize) {
         let Some((applied, log)) = self.all[who].peer.as_ref().and_then(Peer::agreed) else { return };
         let (state, unsettled) = (log.state().clone(), log.unsettled());
-        let known = self.states.entry(applied).or_insert_with(|| state.clone());
-        if *known != state {
+        let here = (state.clone(), log.seats().keys().copied().collect());
+        let known = self.states.entry(applied).or_insert_with(|| here.clone());
+        if *known != here {
             let told = format!(
-                "has step {} after {applied} entries, another has step {}",
-                state.step.0, known.step.0
+                "has step {} and seats {:?} after {applied} entries, another has step {} and seats {:?}",
+                state.step.0, here.1, known.0.step.0, known.1
             );
             return self.broken(who, told);
         }
@@ -543,6 +574,10 @@
         if let Some((next, _)) = &state.next {
             self.proposed.entry(next.version).or_insert(self.now);
         }
+        if self.seats != here.1 {
+            self.outcome.replaced += u64::from(here.1.len() == self.play.seats && !self.seats.is_empty());
+            self.seats = here.1;
+        }
         let before = self.agreed.as_ref().map_or(Version(1), |a| a.1.force.version);
         if state.force.version > before {
             self.outcome.in_force += 1;
@@ -636,7 +671,7 @@
         for command in out {
             let (to, body) = match command {
                 Command::Send { to, body } => (place(to), body),
-                Command::Seat { to, bytes } => (to as usize, Body::Seats(bytes)),
+                Command::Seat { to, bytes } => (to as usize - 1, Body::Seats(bytes)),
                 _ => continue,
             };
             if to >= self.all.len() {
@@ -749,6 +784,8 @@
     pub broken: Vec<(u64, String)>,
     /// Versions that came into force.
     pub in_force: u64,
+    /// Seats that were replaced.
+    pub replaced: u64,
     /// From a proposal to force everywhere, milliseconds: median, 99th percentile, longest.
     pub force_ms: [u64; 3],
     /// Share of time without a live lease.
@@ -790,6 +827,7 @@
         seeds,
         broken: broken.collect(),
         in_force: all.iter().map(|o| o.in_force).sum(),
+        replaced: all.iter().map(|o| o.replaced).sum(),
         force_ms: [0.5, 0.99, 1.0].map(|q| force.value_at_quantile(q)),
         lapsed: mean(|o| o.lapsed),
         stayless: mean(|o| o.stayless),
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -21,6 +21,12 @@
         /// How many of them keep the log: 1, 3, 5 or 7.
         #[arg(long, default_value_t = 1)]
         seats: usize,
+        /// Front ends beside them that may become seats.
+        #[arg(long, default_value_t = 0)]
+        spares: usize,
+        /// How often one of these is to take over from a seat.
+        #[arg(long, default_value_t = 0)]
+        replacements: usize,
         /// How many seeds.
         #[arg(long, default_value_t = 1000)]
         seeds: u64,
@@ -79,6 +85,8 @@
     let What::Agree {
         front_ends,
         seats,
+        spares,
+        replacements,
         seeds,
         from,
         threads,
@@ -94,7 +102,8 @@
     let (mut broken, mut played) = (false, Vec::new());
     for fronts in front_ends {
         let seats = seats.clamp(1, fronts.max(2));
-        let mut play = Play { plant: mistake.map(plant), quiet, seats, ..Play::of(fronts.max(2)) };
+        let mut play =
+            Play { plant: mistake.map(plant), quiet, seats, spares, replacements, ..Play::of(fronts.max(2)) };
         play.terms.span = lease.clamp(1, 3_600_000) * 1000;
         if let Some(seed) = seed {
             let outcome = run(&play, seed);
@@ -115,12 +124,13 @@
             continue;
         }
         println!(
-            "{} front ends, {} seeds: {} broke; {} versions in force, after {} ms (median), {} ms (99th), {} ms at most; \
+            "{} front ends, {} seeds: {} broke; {} versions in force, {} seats replaced, after {} ms (median), {} ms (99th), {} ms at most; \
              {:.2}% of the time without a lease, {:.2}% without a stay; {:.1} messages and {:.0} bytes a front end a second, {:.0} at the seat",
             sum.fronts,
             sum.seeds,
             sum.broken.len(),
             sum.in_force,
+            sum.replaced,
             sum.force_ms[0],
             sum.force_ms[1],
             sum.force_ms[2],
--- a/model/tests/agree.rs
+++ b/model/tests/agree.rs
@@ -11,6 +11,15 @@
     }
 }
 
+#[test]
+fn seats_are_replaced_through_the_same_faults() {
+    for (fronts, seats, spares) in [(6, 1, 2), (8, 3, 3), (11, 5, 3)] {
+        let sum = many(&Play { seats, spares, replacements: 8, ..Play::of(fronts) }, 1, 30, 2);
+        assert!(sum.broken.is_empty(), "{fronts} front ends, {seats} seats: {:?}", sum.broken);
+        assert!(sum.replaced > 30, "{fronts} front ends, {seats} seats: {} were replaced", sum.replaced);
+    }
+}
+
 #[test]
 fn a_run_depends_on_its_seed_alone() {
     let play = Play::of(6);
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -32,6 +32,8 @@
 const LOOK_LEAST: Time = 500;
 /// A link that nothing was sent on for so long is let go.
 const UNUSED: Time = 60_000_000;
+/// A front end that turns letters away is told of again after this time.
+const TELL_AGAIN: Time = 10_000_000;
 /// Requests for entries that wait for their answer.
 const REQUESTS: usize = 256;
 /// Bounds of what siblings and operators send.
@@ -67,6 +69,8 @@
 struct Way {
     link: Rc<Link>,
     letters: Cell<usize>,
+    /// When it was last told that letters are turned away.
+    told: Cell<Option<Time>>,
     used: Cell<Time>,
 }
 
@@ -214,8 +218,7 @@
         match command {
             Command::Send { to, body } => self.send(to, body),
             Command::Seat { to, bytes } => {
-                let seats = self.with_peer(|p, _| p.setup().seats.clone());
-                if let Some((_, address)) = seats.into_iter().find(|s| s.0 == to) {
+                if let Some(address) = self.with_peer(|p, _| p.address(to)) {
                     self.send(address, Body::Seats(bytes));
                 }
             }
@@ -245,7 +248,7 @@
             let fresh = || {
                 let at = self.via.get(&to).copied().unwrap_or(to);
                 let link = Link::new(self.spawner.clone(), at, LinkLimits::default());
-                Rc::new(Way { link, letters: Cell::new(0), used: Cell::new(0) })
+                Rc::new(Way { link, letters: Cell::new(0), told: Cell::new(None), used: Cell::new(0) })
             };
             ways.entry(to).or_insert_with(fresh).clone()
         };
@@ -259,7 +262,10 @@
         self.spawner.spawn(async move {
             if let Err(e) = ask(&spawner, &way.link, "Tell", &bytes, LETTER_WITHIN).await {
                 tracing::debug!(%to, error = %e, "a letter did not arrive");
-                if matches!(e, crate::ask::Failed::Refused(..)) {
+                let now = clock::now();
+                let lately = way.told.get().is_some_and(|at| now - at < TELL_AGAIN);
+                if matches!(e, crate::ask::Failed::Refused(..)) && !lately {
+                    way.told.set(Some(now));
                     tracing::warn!(%to, error = %e, "a front end turns letters away");
                 }
             }
@@ -320,6 +326,12 @@
                 "a change was stuck while calls were refused for it, and is given up"
             );
         }
+        Note::NotSeated { new } => {
+            tracing::error!(
+                new = format!("{new:x}"),
+                "it did not learn the agreed log in time and does not become a seat: was it started with --state?"
+            );
+        }
         Note::Disk { why } => {
             tracing::error!(%why, "the seat's disk takes no entry: no change until it is mended and the seat started again");
         }
--- a/net/peers/src/serve.rs
+++ b/net/peers/src/serve.rs
@@ -9,13 +9,13 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
-use tansy_agree::log::{Applied, Entry, Version};
+use tansy_agree::log::{Applied, Entry, Hand, Version};
 use tansy_agree::rule::Touch;
 use tansy_fleet_wire::{member, of_settings, pb, process, read, settings, state, Bad, LARGEST, SERVICE};
 use tansy_frames::grpc::Code;
 use tansy_net_grpc::server::{answer as reply, refuse, trailers, Handler, Messages};
 use tansy_net_sockets::within;
-use tansy_peer::Refusal;
+use tansy_peer::{number, Refusal};
 
 /// Time for a request to come in whole.
 const REQUEST_WITHIN: Duration = Duration::from_secs(5);
@@ -113,8 +113,13 @@
             name: setup.name.clone(),
             process: Some(process(&setup.me)),
             seat: p.root_address().to_string(),
-            seats: setup.seats.iter().map(|s| s.1.to_string()).collect(),
+            seats: p.seats().iter().map(|s| s.1.to_string()).collect(),
             keeps_log: p.log().is_some(),
+            seating: p.agreed().and_then(|(_, l)| l.seating()).map(|s| pb::Seating {
+                new: s.address.to_string(),
+                instead: p.address(s.instead).map(|a| a.to_string()).unwrap_or_default(),
+                votes: s.hand == Hand::Both,
+            }),
             state: acting.state.map(state),
             lease_left: acting.lease,
             stay_left: acting.stay,
@@ -162,6 +167,7 @@
                 None => Entry::Abandon { version: Version(0) },
             }
         }
+        E::Seat(s) => seat(peers, &s)?,
     };
     let slot = peers.enter(entry);
     let slot = slot.ok_or((Code::ResourceExhausted, "too many requests wait: ask again later".into()))?;
@@ -175,7 +181,7 @@
         Ok(applied) => {
             let version = match &applied {
                 Applied::Told(v) | Applied::Again(v) => v.0,
-                Applied::Stepped(_) | Applied::Roster => 0,
+                Applied::Stepped(_) | Applied::Roster | Applied::Seats => 0,
             };
             Ok(pb::EnterReply { version, again: matches!(applied, Applied::Again(_)) }.encode_to_vec())
         }
@@ -191,6 +197,19 @@
     }
 }
 
+/// The entry by which a front end that is there begins to take over from a seat, dead or alive.
+fn seat(peers: &Peers, asked: &pb::Seat) -> Result<Entry, (Code, String)> {
+    let (new, instead) = (number(&asked.new), number(&asked.instead));
+    let address = peers.with_peer(|p, _| p.others().find(|o| o.id == new).map(|o| o.address));
+    match address {
+        Some(address) => Ok(Entry::Seat { new, address, instead }),
+        None => Err((
+            Code::NotFound,
+            format!("no front end named {:?} is there: start it with --state, then ask again", asked.new),
+        )),
+    }
+}
+
 fn history(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
     let asked = pb::HistoryRequest::decode(bytes).map_err(|e| bad(&e))?;
     same(peers, asked.fleet, fleet)?;
--- a/programs/fleet/src/lib.rs
+++ b/programs/fleet/src/lib.rs
@@ -88,6 +88,17 @@
     },
     /// Who keeps the agreed log, and who of them leads.
     Seats,
+    /// Makes a front end a seat in the place of another, dead or alive, and waits until it is. It has to run with `--state`.
+    Seat {
+        /// The name of the one that is to become a seat.
+        new: String,
+        /// The name of the seat that it takes over.
+        #[arg(long)]
+        instead: String,
+        /// Seconds to wait until it is a seat; 0: not at all.
+        #[arg(long, default_value_t = 40.0)]
+        wait: f64,
+    },
 }
 
 #[derive(clap::Args)]
@@ -201,8 +212,11 @@
             say(a, &format!("{name} is on the roster no more"));
             Ok(())
         }
+        What::Seat { new, instead, wait } => replace(a, &mut client, new, instead, *wait),
         What::Seats => {
-            let s = client.status(a.at)?;
+            // A seat knows who they are; others know those of their settings.
+            let leader = seat(&mut client, a.at)?;
+            let s = client.status(leader).or_else(|_| client.status(a.at))?;
             let at = s.seats.iter().map(|a| address(a)).collect::<Result<Vec<_>, _>>()?;
             let answers = client.statuses(&at);
             let line = |(at, answer): (&SocketAddr, Result<pb::StatusReply, Failed>)| match answer {
@@ -220,6 +234,46 @@
     }
 }
 
+fn replace(a: &Arguments, client: &mut Client, new: &str, instead: &str, wait: f64) -> Result<(), Not> {
+    let leader = seat(client, a.at)?;
+    client.enter(leader, Entry::Seat(pb::Seat { new: new.to_string(), instead: instead.to_string() }))?;
+    let end = Instant::now() + Duration::from_secs_f64(wait.clamp(0.0, 86_400.0));
+    let (mut last, mut learns) = (leader, true);
+    while Instant::now() < end {
+        // Who is replaced and leads hands over, so that another may have to be asked.
+        last = seat(client, a.at).or_else(|_| seat(client, last)).unwrap_or(last);
+        match client.status(last) {
+            Ok(s) if s.keeps_log => match s.seating {
+                Some(seating) => learns = !seating.votes,
+                None if s.seats.iter().any(|at| Some(at) == front(&s, new).as_ref()) => {
+                    say(a, &format!("{new} is a seat, {instead} is none any more"));
+                    return Ok(());
+                }
+                None => {
+                    return Err(Not::Kept(format!(
+                        "{new} did not become a seat: was it started with --state?"
+                    )))
+                }
+            },
+            _ => {}
+        }
+        client.wait(LOOK_EVERY);
+    }
+    if wait <= 0.0 {
+        say(a, &format!("{new} is to become a seat instead of {instead}"));
+        return Ok(());
+    }
+    let what = if learns { "still learns the log" } else { "is a seat, and so is still the other" };
+    Err(Not::InTime(format!("{new} {what} after {wait} s: `seats` tells how far it is")))
+}
+
+/// Where the front end of a name is reached, by one that knows all.
+fn front(s: &pb::StatusReply, name: &str) -> Option<String> {
+    let id = tansy_peer::number(name);
+    let all = s.others.iter().chain(&s.process);
+    all.filter(|p| p.id == id).map(|p| p.address.clone()).next()
+}
+
 fn print(text: &str) {
     // A reader that goes away is no reason to fail.
     let _ = writeln!(std::io::stdout(), "{}", text.trim_end_matches('\n'));
--- a/programs/fleet/tests/fleet.rs
+++ b/programs/fleet/tests/fleet.rs
@@ -53,8 +53,9 @@
         command.arg("--settings").arg(self.folder.join("a.cue"));
         command.args(["--name", &format!("f{n}"), "--peers", &self.addresses[n].to_string()]);
         command.args(["--listen", "127.0.0.1:0", "--http", "127.0.0.1:0", "--log", "off"]);
-        if n == 0 {
-            command.arg("--state").arg(self.folder.join("seat.redb"));
+        // The last one may become a seat.
+        if n == 0 || n + 1 == self.addresses.len() {
+            command.arg("--state").arg(self.folder.join(format!("seat{n}.redb")));
         }
         let mut child = command.stdout(Stdio::piped()).spawn().expect("a gateway");
         let mut line = String::new();
@@ -226,3 +227,32 @@
     let lost = &status["fronts"][0];
     assert_eq!((lost["name"].as_str(), lost["step"].as_u64()), (Some("f1"), Some(0)), "{status}");
 }
+
+#[test]
+fn a_seat_is_replaced_in_service_and_the_new_one_carries_on_from_its_file() {
+    let mut fleet = Fleet::start("replaced", 4, 104);
+    fleet.found();
+    let (code, said) = fleet.ask(&["seat", "f1", "--instead", "f9"]);
+    assert_eq!(code, 3, "{said}");
+    assert!(said["error"].as_str().is_some_and(|e| e.contains("no seat")), "{said}");
+    let (code, said) = fleet.ask(&["seat", "f8", "--instead", "f0"]);
+    assert_eq!(code, 3, "{said}");
+    let (code, said) = fleet.ask(&["seat", "f3", "--instead", "f0"]);
+    assert_eq!(code, 0, "{said}");
+    let (_, seats) = fleet.ask(&["seats"]);
+    let names: Vec<&str> =
+        seats.as_array().into_iter().flatten().filter_map(|s| s["name"].as_str()).collect();
+    assert_eq!(names, ["f3"], "{seats}");
+    // The old one is gone for good; a change goes through, and holds when the new one starts again.
+    fleet.kill(0);
+    let shorter = fleet.file("b.cue", "window: 30s", "window: 20s");
+    let (code, done) = fleet.ask(&["propose", &shorter]);
+    assert_eq!((code, done["is"].as_str()), (0, Some("in force")), "{done}");
+    fleet.kill(3);
+    fleet.run(3);
+    fleet.found();
+    fleet.until(|s| {
+        let fronts = s["fronts"].as_array().cloned().unwrap_or_default();
+        fronts.iter().all(|f| f["version"].as_u64() == Some(2))
+    });
+}
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -112,7 +112,8 @@
         seed: id ^ incarnation,
     };
     let file = match (&fleet.state, at_seat) {
-        (Some(path), true) => Some((path.clone(), place.first.clone())),
+        // One that is no seat yet may become one.
+        (Some(path), _) => Some((path.clone(), place.first.clone())),
         (None, true) => {
             return Err(format!(
                 "fleet.state: {:?} keeps the agreed log: want its file, as --state seat.redb",
@@ -120,7 +121,7 @@
             )
             .into())
         }
-        (_, false) => None,
+        (None, false) => None,
     };
     let adopter = Rc::new(Adopter {
         hub,
