Changes in stages: their agreed steps, who steers, who keeps processes, and the verdict

Need: an operator changes program or settings over the fleet by one command, and the change goes back by itself when a stage does worse.

--- a/decide/agree/src/log.rs
+++ b/decide/agree/src/log.rs
@@ -16,8 +16,9 @@
 use crate::lease::Member;
 use crate::rule::{changes, joint, Change, Fields, Kind, Rules, Schema};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use tansy_rollout::{Phase as Rolled, Roll, What};
 
 /// A version of the settings; 1 is the first, 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -46,7 +47,7 @@
 }
 
 /// One agreed entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Entry {
     /// A new version, to follow the latest.
     Propose {
@@ -110,6 +111,13 @@
         /// The new one.
         new: u64,
     },
+    /// A step of a change in stages.
+    Roll {
+        /// Which.
+        entry: Box<tansy_rollout::Entry>,
+        /// With the beginning of one of settings: all fields of the version that it tries.
+        fields: Option<Fields>,
+    },
 }
 
 /// How far a seat's replacement is.
@@ -167,6 +175,10 @@
     NoSeat,
     /// No replacement stands at this step.
     NoSeating,
+    /// Settings are tried in stages.
+    Tried,
+    /// The roll refuses it.
+    Roll(tansy_rollout::Refused),
 }
 
 impl std::fmt::Display for Refused {
@@ -192,6 +204,10 @@
             Refused::Seating => write!(f, "another seat is being replaced: seats are replaced one at a time"),
             Refused::IsSeat => write!(f, "the one that is to take over is a seat already"),
             Refused::NoSeat => write!(f, "the one that is to be replaced is no seat"),
+            Refused::Tried => {
+                write!(f, "other settings are tried in stages: wait for the end of the roll, or abort it")
+            }
+            Refused::Roll(r) => write!(f, "{r}"),
             Refused::NoSeating => write!(f, "no replacement of a seat is that far"),
             Refused::Full => {
                 write!(f, "{MEMBERS} front ends are in the fleet already: dismiss those that are gone")
@@ -214,6 +230,8 @@
     Roster,
     /// Who keeps the log, or is about to, is another set.
     Seats,
+    /// A change in stages went on.
+    Roll,
 }
 
 /// A version with its fields.
@@ -238,9 +256,33 @@
     pub force: Settings,
     /// The change under way.
     pub next: Option<(Settings, Phase)>,
+    /// Settings that some front ends try, in stages, beside the version in force.
+    pub trial: Option<Box<Trial>>,
+}
+
+/// Settings that are tried. Whoever tries them acts on their free fields and on the stricter of both versions' joint ones, so
+/// that it contradicts nobody who acts on the version in force; strict fields can't differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    /// All of its fields.
+    pub fields: Fields,
+    /// The names of those who try them.
+    pub names: BTreeSet<String>,
 }
 
 impl State {
+    /// The same as the front end of this name acts on it: one that tries settings is in their joint step.
+    pub fn at(&self, name: &str) -> State {
+        let tries = self.trial.as_ref().filter(|t| self.next.is_none() && t.names.contains(name));
+        let mut state = self.clone();
+        state.next = state.next.or_else(|| {
+            let version = self.force.version;
+            let why = "tried in stages".to_string();
+            tries.map(|t| (Settings { version, fields: t.fields.clone(), why, id: 0 }, Phase::Joint))
+        });
+        state
+    }
+
     /// The rules of this step.
     pub fn rules(&self, schema: &Schema) -> Rules {
         match &self.next {
@@ -268,7 +310,7 @@
 pub const MEMBERS: usize = 10_000;
 
 /// The outcome of all entries so far.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Log {
     state: State,
     given: Version,
@@ -278,6 +320,12 @@
     /// Who keeps the log, and where each is reached.
     seats: BTreeMap<u64, SocketAddr>,
     seating: Option<Seating>,
+    /// The last change in stages, over or not.
+    roll: Option<Roll>,
+    /// What that tries, if it is one of settings.
+    tried: Option<Fields>,
+    /// The program that all are to run, by its label and where it is found; none: whatever they were started with.
+    program: Option<(String, String)>,
 }
 
 impl Log {
@@ -285,9 +333,29 @@
     pub fn new(fields: Fields, seats: impl IntoIterator<Item = (u64, SocketAddr)>) -> Log {
         let force = Settings { version: Version(1), fields, why: "the first".into(), id: 0 };
         let past = VecDeque::from([force.clone()]);
-        let state = State { step: Step(1), force, next: None };
+        let state = State { step: Step(1), force, next: None, trial: None };
         let seats = seats.into_iter().collect();
-        Log { state, given: Version(1), past, roster: BTreeMap::new(), seats, seating: None }
+        Log {
+            state,
+            given: Version(1),
+            past,
+            roster: BTreeMap::new(),
+            seats,
+            seating: None,
+            roll: None,
+            tried: None,
+            program: None,
+        }
+    }
+
+    /// The last change in stages, over or not.
+    pub fn roll(&self) -> Option<&Roll> {
+        self.roll.as_ref()
+    }
+
+    /// The program that all are to run once no roll says otherwise: its label, and where it is found.
+    pub fn program(&self) -> Option<(&str, &str)> {
+        self.program.as_ref().map(|(label, path)| (label.as_str(), path.as_str()))
     }
 
     /// Who keeps the log, and where each is reached.
@@ -343,6 +411,7 @@
                 }
                 let latest = self.state.force.version;
                 match next {
+                    _ if self.trying() => Some(Refused::Tried),
                     Some((next, _)) => Some(Refused::Busy { with: next.version }),
                     None if base != latest => Some(Refused::Base { latest }),
                     None => (*fields == self.state.force.fields).then_some(Refused::Same),
@@ -368,10 +437,75 @@
             }
             Entry::Seated { new } => self.at(new, Hand::Both).is_none().then_some(Refused::NoSeating),
             Entry::Unseat { new } => self.at(new, Hand::Learning).is_none().then_some(Refused::NoSeating),
+            Entry::Roll { ref entry, ref fields } => self.judge_roll(entry, fields.as_ref()),
         };
         refused.map_or(Ok(None), Err)
     }
 
+    /// Whether settings are tried in stages.
+    fn trying(&self) -> bool {
+        self.roll.as_ref().is_some_and(|r| !r.over() && r.what == What::Settings)
+    }
+
+    fn judge_roll(&self, entry: &tansy_rollout::Entry, fields: Option<&Fields>) -> Option<Refused> {
+        use tansy_rollout::{Entry as Step, Refused as No};
+        let going = self.roll.as_ref();
+        let settings = matches!(entry, Step::Begin { what: What::Settings, .. });
+        match (entry, going) {
+            (Step::Begin { id, .. }, Some(r)) if r.id == *id => Some(Refused::Roll(No::Same)),
+            (Step::Begin { plan, .. }, None) if plan.wrong().is_some() => {
+                Some(Refused::Roll(No::Plan(plan.wrong().unwrap_or_default())))
+            }
+            (Step::Begin { .. }, Some(r)) if !r.over() => Some(Refused::Roll(No::Busy)),
+            (Step::Begin { .. }, _) if settings => match (&self.state.next, fields) {
+                (Some((next, _)), _) => Some(Refused::Busy { with: next.version }),
+                (None, Some(f)) if *f != self.state.force.fields => None,
+                (None, _) => Some(Refused::Same),
+            },
+            (Step::Begin { .. }, None) => None,
+            (_, None) => Some(Refused::Roll(No::Over)),
+            (entry, Some(r)) => r.judge(entry).err().map(Refused::Roll),
+        }
+    }
+
+    /// What follows of a step of a roll: who tries settings; what is in force, or about to be, once it is done.
+    fn rolled(&mut self) {
+        let Some(roll) = &self.roll else { return };
+        let done = roll.phase == Rolled::Done;
+        if let (What::Program { label, path }, true) = (&roll.what, done) {
+            self.program = Some((label.clone(), path.clone()));
+        }
+        let trial = match (&self.tried, roll.what == What::Settings && !roll.over()) {
+            (Some(fields), true) => {
+                let names = roll.plan.stages.iter().flatten().map(|p| &p.name);
+                let names: BTreeSet<String> = names.filter(|n| roll.new_side(n)).cloned().collect();
+                (!names.is_empty()).then(|| Box::new(Trial { fields: fields.clone(), names }))
+            }
+            _ => None,
+        };
+        let (id, why) = (roll.id, roll.why.clone());
+        if let (Some(fields), true) = (self.tried.take_if(|_| roll.over()), done) {
+            self.state.trial = None;
+            self.tell(id, fields, why);
+        } else if self.state.trial != trial {
+            self.state.trial = trial;
+            self.state.step = self.state.step.next();
+        }
+    }
+
+    /// A version is told.
+    fn tell(&mut self, id: u64, fields: Fields, why: String) -> Applied {
+        self.given = Version(self.given.0 + 1);
+        let next = Settings { version: self.given, fields, why, id };
+        self.past.push_back(next.clone());
+        if self.past.len() > KEPT {
+            self.past.pop_front();
+        }
+        self.state.next = Some((next, Phase::Told));
+        self.state.step = self.state.step.next();
+        Applied::Told(self.given)
+    }
+
     /// The replacement of a seat, if it is this one and so far.
     fn at(&self, new: u64, hand: Hand) -> Option<Seating> {
         self.seating.filter(|s| (s.new, s.hand) == (new, hand))
@@ -383,17 +517,7 @@
             return Ok(Applied::Again(known));
         }
         Ok(match entry {
-            Entry::Propose { id, fields, why, .. } => {
-                self.given = Version(self.given.0 + 1);
-                let next = Settings { version: self.given, fields, why, id };
-                self.past.push_back(next.clone());
-                if self.past.len() > KEPT {
-                    self.past.pop_front();
-                }
-                self.state.next = Some((next, Phase::Told));
-                self.state.step = self.state.step.next();
-                Applied::Told(self.given)
-            }
+            Entry::Propose { id, fields, why, .. } => self.tell(id, fields, why),
             Entry::Advance { .. } => {
                 match self.state.next.take() {
                     Some((next, Phase::Told)) => self.state.next = Some((next, Phase::Joint)),
@@ -439,6 +563,18 @@
                 self.seating = None;
                 Applied::Seats
             }
+            Entry::Roll { entry, fields } => {
+                match (*entry, &mut self.roll) {
+                    (tansy_rollout::Entry::Begin { id, what, plan, why }, roll) => {
+                        self.tried = fields.filter(|_| what == What::Settings);
+                        *roll = Some(Roll::begin(id, what, plan, why).map_err(Refused::Roll)?);
+                    }
+                    (entry, Some(roll)) => roll.apply(entry).map_err(Refused::Roll)?,
+                    (_, None) => {}
+                }
+                self.rolled();
+                Applied::Roll
+            }
         })
     }
 }
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -12,6 +12,7 @@
 
 use crate::account::{place, Account};
 use crate::config::{BadConfig, Config, Contested, FunctionSpec};
+use crate::count::Counts;
 use crate::ids::Names;
 use crate::lacking::{Lack, Lacking};
 use crate::message::{Answer, Call, CallId, Command, Input, Listed, OrderId, Why};
@@ -66,6 +67,7 @@
 struct OpenCall {
     function: FunctionId,
     class: usize,
+    arrived: Time,
     deadline: Time,
     sent: u32,
     attempt: Option<Attempt>,
@@ -145,6 +147,7 @@
     next_order: u64,
     timers: Wheel<Due>,
     account: Account,
+    counts: Option<Box<Counts>>,
     closing: bool,
     actions: Vec<Action>,
     due: Vec<Due>,
@@ -182,6 +185,7 @@
             next_order: 0,
             timers: Wheel::new(now.0, TICK),
             account: Account::default(),
+            counts: None,
             closing: false,
             actions: Vec::new(),
             due: Vec::new(),
@@ -197,6 +201,22 @@
     pub fn account(&self) -> &Account {
         &self.account
     }
+    /// Counts final answers by class from now on.
+    pub fn count(&mut self) {
+        self.counts.get_or_insert_default();
+    }
+    /// Final answers by class, if they are counted.
+    pub fn counts(&self) -> Option<&Counts> {
+        self.counts.as_deref()
+    }
+    /// A call of the module's class ended, `arrived` then.
+    fn counted(&mut self, class: usize, answer: Option<Answer>, arrived: Time) {
+        let Some(counts) = &mut self.counts else { return };
+        if let (Some(name), Some(c)) = (self.class_names.get(class), self.config.settings.classes.get(class))
+        {
+            counts.end(name, c, answer, self.now.since(arrived));
+        }
+    }
     /// Calls that are owed an answer.
     pub fn open(&self) -> usize {
         self.calls.values().filter(|c| !c.answered).count()
--- a/decide/front/src/ledger/calls.rs
+++ b/decide/front/src/ledger/calls.rs
@@ -30,14 +30,19 @@
             let full = self.config.settings.classes[spec.class].aim.min(self.config.settings.max_stay_away);
             let stay_away = if self.closing { 0 } else { full };
             self.account.refused += 1;
-            out.push(Command::Answer { call: id, answer: Answer::Refused { stay_away } });
+            let answer = Answer::Refused { stay_away };
+            let class = spec.class;
+            self.counted(class, Some(answer), self.now);
+            out.push(Command::Answer { call: id, answer });
             return;
         }
         let class = call.class.filter(|c| *c < self.config.settings.classes.len()).unwrap_or(spec.class);
         if let Some(stay_away) = self.contests(&call, class) {
             (self.account.refused, self.account.contested) =
                 (self.account.refused + 1, self.account.contested + 1);
-            out.push(Command::Answer { call: id, answer: Answer::Refused { stay_away } });
+            let answer = Answer::Refused { stay_away };
+            self.counted(class, Some(answer), self.now);
+            out.push(Command::Answer { call: id, answer });
             return;
         }
         let told = call.budget.unwrap_or(self.config.settings.classes[class].deadline);
@@ -61,6 +66,7 @@
         let open = OpenCall {
             function,
             class,
+            arrived: self.now,
             deadline,
             sent: 0,
             attempt: None,
@@ -193,7 +199,9 @@
     pub(super) fn on_left(&mut self, id: CallId, out: &mut Vec<Command>) {
         let Some(c) = self.calls.get_mut(&id).filter(|c| !c.answered) else { return };
         c.answered = true;
+        let (class, arrived) = (c.class, c.arrived);
         self.account.departed += 1;
+        self.counted(class, None, arrived);
         self.tell(Event::Departed { request: RequestId(id.0) }, out);
         self.withdraw(id, Outcome::Cancelled, out);
         self.settle(id);
@@ -212,7 +220,10 @@
             Answer::Refused { .. } => self.account.refused += 1,
             Answer::Passed | Answer::Failed(_) | Answer::Unknown => self.account.failed += 1,
         }
+        let (class, arrived) = (c.class, c.arrived);
+        self.counted(class, Some(answer), arrived);
         out.push(Command::Answer { call: id, answer });
+        let Some(c) = self.calls.get_mut(&id) else { return };
         if answer == Answer::Served {
             // Its trailers may lag, but not for ever.
             if let Some(a) = c.attempt.as_mut() {
--- a/decide/front/src/lib.rs
+++ b/decide/front/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`ledger`]: the open calls and their attempts, the timers, the guards of the rules; a room for each concern.
 //! - [`outcome`]: what a socket showed, and whether the attempt can have run.
 //! - [`account`]: what was taken, answered and sent; it must balance.
+//! - [`count`]: final answers by class, for whoever compares front ends.
 //! - [`lacking`]: workers whose orders leave nothing, and when the operator is told.
 //! - [`ids`]: names to the module's numbers.
 //! - [`record`]: inputs and commands as lines, and their replay.
 
 pub mod account;
 pub mod config;
+pub mod count;
 pub mod ids;
 pub mod lacking;
 pub mod ledger;
@@ -22,6 +24,7 @@
 
 pub use account::Account;
 pub use config::{BadConfig, Config, Contested, FunctionSpec, Terms};
+pub use count::{Counted, Counts};
 pub use ledger::Front;
 pub use message::{Answer, Call, CallId, Command, Input, Listed, OrderId, Shape, Why};
 pub use outcome::{NeverRan, Note, Report, Seen, Stage, Told};
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -221,6 +221,8 @@
     lists: Lists,
     heard: BTreeMap<u64, SocketAddr>,
     noted: (Step, bool, bool),
+    /// When it first held a lease and a stay.
+    acts_since: Option<Time>,
 }
 
 impl Peer {
@@ -260,6 +262,7 @@
             lists,
             heard: BTreeMap::new(),
             noted: (Step(0), false, false),
+            acts_since: None,
         })
     }
 
@@ -273,6 +276,11 @@
         Acting { state: self.front.known(), lease: self.front.left(now), stay: self.stay.left(now) }
     }
 
+    /// For how long it has acted: since it first held a lease and a stay.
+    pub fn acts_for(&self, now: Time) -> Time {
+        self.acts_since.map_or(0, |since| (now - since).max(0))
+    }
+
     /// The others that are there.
     pub fn others(&self) -> impl Iterator<Item = &Name> {
         self.members.all()
@@ -615,6 +623,9 @@
         if stay != self.noted.2 {
             out.push(Command::Note(Note::Stay { live: stay }));
         }
+        if lease && stay {
+            self.acts_since.get_or_insert(now);
+        }
         self.noted = (step, lease, stay);
     }
 }
--- a/model/src/agree.rs
+++ b/model/src/agree.rs
@@ -802,21 +802,7 @@
 
 /// Plays seeds `from` to `from + seeds` on so many threads. The outcome does not depend on their number.
 pub fn many(play: &Play, from: u64, seeds: u64, threads: usize) -> Summary {
-    let next = std::sync::atomic::AtomicU64::new(0);
-    let work = || {
-        let mut own = Vec::new();
-        loop {
-            let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            if n >= seeds {
-                return own;
-            }
-            own.push(run(play, from + n));
-        }
-    };
-    let mut all: Vec<Outcome> = std::thread::scope(|s| {
-        let spawned: Vec<_> = (0..threads.max(1)).map(|_| s.spawn(work)).collect();
-        spawned.into_iter().flat_map(|t| t.join().unwrap_or_default()).collect()
-    });
+    let mut all: Vec<Outcome> = crate::spread(from, seeds, threads, |seed| run(play, seed));
     all.sort_by_key(|o| o.seed);
     let mut force = Histogram::<u64>::new_with_bounds(1, 3_600_000, 3).expect("an hour at most");
     all.iter().flat_map(|o| &o.force_ms).for_each(|ms| force.saturating_record(*ms));
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -8,3 +8,23 @@
 pub mod fault;
 pub mod net;
 pub mod plot;
+pub mod roll;
+
+/// Plays seeds `from` to `from + seeds` on so many threads. The order of what comes back is that of the threads.
+fn spread<T: Send>(from: u64, seeds: u64, threads: usize, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let next = std::sync::atomic::AtomicU64::new(0);
+    let work = || {
+        let mut own = Vec::new();
+        loop {
+            let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            if n >= seeds {
+                return own;
+            }
+            own.push(one(from + n));
+        }
+    };
+    std::thread::scope(|s| {
+        let spawned: Vec<_> = (0..threads.max(1)).map(|_| s.spawn(work)).collect();
+        spawned.into_iter().flat_map(|t| t.join().unwrap_or_default()).collect()
+    })
+}
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -55,6 +55,90 @@
         #[arg(long)]
         plot: Option<std::path::PathBuf>,
     },
+    /// Changes in stages: how often one that harms is stopped, and one that changes nothing.
+    Roll(RollArguments),
+}
+
+#[derive(clap::Args)]
+struct RollArguments {
+    /// Rolls of each sort.
+    #[arg(long, default_value_t = 200)]
+    rolls: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// Threads; the outcome does not depend on it.
+    #[arg(long, default_value_t = 0)]
+    threads: usize,
+    /// Front ends.
+    #[arg(long, default_value_t = 30)]
+    front_ends: usize,
+    /// Calls a second at a front end of mean traffic.
+    #[arg(long, default_value_t = 40.0)]
+    rate: f64,
+    /// Rolls of nothing changed alone.
+    #[arg(long)]
+    null: bool,
+    /// Beside them the two plain rules: a fixed threshold on the difference, and on the difference to the own past.
+    #[arg(long)]
+    plain: bool,
+    /// One line of JSON for each sort.
+    #[arg(long)]
+    json: bool,
+    /// Draws the share stopped against the loss into this file (SVG).
+    #[arg(long)]
+    plot: Option<std::path::PathBuf>,
+}
+
+fn roll(a: RollArguments) -> ExitCode {
+    use tansy_model::roll::{many, Harm, Play, Rule};
+    let threads =
+        if a.threads > 0 { a.threads } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
+    let harms: Vec<Harm> = match a.null {
+        true => vec![Harm::None],
+        false => vec![
+            Harm::None,
+            Harm::All(0.03),
+            Harm::All(0.05),
+            Harm::All(0.1),
+            Harm::All(0.2),
+            Harm::Class(0.1),
+            Harm::Zone(0.05),
+            Harm::Late(0.05),
+            Harm::Slow(0.03),
+            Harm::Shed(0.05),
+            Harm::Leak(1.0),
+            Harm::ZoneLost,
+            Harm::Doubles,
+        ],
+    };
+    let rules = match a.plain {
+        true => vec![Rule::Verdict, Rule::Threshold(0.01), Rule::OwnPast(0.01)],
+        false => vec![Rule::Verdict],
+    };
+    let mut played = Vec::new();
+    for rule in rules {
+        for harm in &harms {
+            let play = Play { fronts: a.front_ends, rate: a.rate, harm: *harm, rule, ..Play::default() };
+            let s = many(&play, a.from, a.rolls, threads);
+            if a.json {
+                println!("{}", serde_json::to_string(&s).unwrap_or_default());
+            } else {
+                let stages: Vec<String> = s.stages.iter().map(|x| format!("{:.0}%", x * 100.0)).collect();
+                println!(
+                    "{rule:?} {harm:?}: {} rolls, {:.2}% stopped, in stages {}; after {} s (median), {} s (90 of 100); {:.2}% of the \
+                     calls met it; done after {} s; {:?}",
+                    s.rolls, s.stopped * 100.0, stages.join(" "), s.seconds[0], s.seconds[1], s.exposed * 100.0, s.done_seconds, s.why
+                );
+            }
+            played.push(s);
+        }
+    }
+    if let Some(Err(e)) = a.plot.map(|path| tansy_model::plot::stopped(&path, &played)) {
+        eprintln!("{e}");
+        return ExitCode::from(2);
+    }
+    ExitCode::SUCCESS
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -82,6 +166,10 @@
 }
 
 fn main() -> ExitCode {
+    let what = match Arguments::parse().what {
+        What::Roll(a) => return roll(a),
+        what => what,
+    };
     let What::Agree {
         front_ends,
         seats,
@@ -96,7 +184,10 @@
         lease,
         json,
         plot,
-    } = Arguments::parse().what;
+    } = what
+    else {
+        return ExitCode::SUCCESS;
+    };
     let threads =
         if threads > 0 { threads } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
     let (mut broken, mut played) = (false, Vec::new());
--- a/model/src/plot.rs
+++ b/model/src/plot.rs
@@ -1,6 +1,7 @@
 //! Plots of what runs measured, as SVG.
 
 use crate::agree::Summary;
+use crate::roll::{self, Harm, Rule};
 use plotters::prelude::*;
 use std::path::Path;
 
@@ -49,3 +50,51 @@
     area.present()?;
     Ok(())
 }
+
+/// Share of rolls stopped against the share that the change loses, for each rule that was played.
+pub fn stopped(path: &Path, all: &[roll::Summary]) -> Result<(), String> {
+    let lost = |h: Harm| match h {
+        Harm::None => Some(0.0),
+        Harm::All(x) => Some(x * 100.0),
+        _ => None,
+    };
+    let line = |name: &'static str, is: fn(&Rule) -> bool| {
+        let of = all.iter().filter(|s| is(&s.play.rule));
+        let points: Vec<(f64, f64)> =
+            of.filter_map(|s| Some((lost(s.play.harm)?, s.stopped * 100.0))).collect();
+        (name, points)
+    };
+    let lines = [
+        line("verdict", |r| *r == Rule::Verdict),
+        line("fixed threshold", |r| matches!(r, Rule::Threshold(_))),
+        line("own past", |r| matches!(r, Rule::OwnPast(_))),
+    ];
+    rolls(path, &lines).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn rolls(path: &Path, lines: &[(&'static str, Vec<(f64, f64)>)]) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, (720, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Rolls that were stopped", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..20.0, 0.0..105.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("points of service lost to the change")
+        .y_desc("stopped, percent")
+        .draw()?;
+    for ((name, points), color) in lines.iter().zip([BLUE, RED, GREEN]) {
+        if points.is_empty() {
+            continue;
+        }
+        let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], color);
+        chart.draw_series(LineSeries::new(points.iter().copied(), color))?.label(*name).legend(key);
+        chart.draw_series(points.iter().map(|p| Circle::new(*p, 3, color.filled())))?;
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -236,6 +236,11 @@
         f(&self.state.borrow().front)
     }
 
+    /// Has final answers counted by class from now on.
+    pub fn count(&self) {
+        self.state.borrow_mut().front.count();
+    }
+
     /// The counts, and calls still open.
     pub fn account(&self) -> (Account, u64) {
         let state = self.state.borrow();
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -52,6 +52,9 @@
 /// is wrong if it can't.
 pub type Acts = Rc<dyn Fn(&Peer, Time) -> Option<String>>;
 
+/// What the front end counted, and of which program it is; its name and what it acts on are filled in.
+pub type Counts = Rc<dyn Fn() -> tansy_fleet_wire::pb::CountsReply>;
+
 /// What a front end's place in a fleet is made of.
 pub struct Setup {
     /// The state machine's; its own address is filled in.
@@ -64,6 +67,8 @@
     pub via: HashMap<SocketAddr, SocketAddr>,
     /// Of versions.
     pub check: Check,
+    /// Of calls.
+    pub counts: Counts,
 }
 
 struct Way {
@@ -96,6 +101,7 @@
     pub(crate) spawner: Spawner,
     pub(crate) fleet: String,
     pub(crate) check: Check,
+    pub(crate) counts: Counts,
     pub(crate) peer: RefCell<Peer>,
     pub(crate) error: RefCell<Option<String>>,
     acts: Acts,
@@ -134,6 +140,7 @@
             spawner: spawner.clone(),
             fleet: setup.fleet,
             check: setup.check,
+            counts: setup.counts,
             peer: RefCell::new(peer),
             error: RefCell::new(None),
             acts,
--- a/net/peers/src/serve.rs
+++ b/net/peers/src/serve.rs
@@ -9,9 +9,11 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
-use tansy_agree::log::{Applied, Entry, Hand, Version};
-use tansy_agree::rule::Touch;
-use tansy_fleet_wire::{member, of_settings, pb, process, read, settings, state, Bad, LARGEST, SERVICE};
+use tansy_agree::log::{Applied, Entry, Hand, State, Version};
+use tansy_agree::rule::{changes, Fields, Kind, Touch};
+use tansy_fleet_wire::{
+    member, of_roll_entry, of_settings, pb, process, read, settings, state, Bad, LARGEST, SERVICE,
+};
 use tansy_frames::grpc::Code;
 use tansy_net_grpc::server::{answer as reply, refuse, trailers, Handler, Messages};
 use tansy_net_sockets::within;
@@ -52,6 +54,8 @@
         "Status" => status(peers, fleet, &message),
         "Enter" => enter(peers, fleet, &message).await,
         "History" => history(peers, fleet, &message),
+        "Counts" => counts(peers, fleet, &message),
+        "Roll" => roll(peers, fleet, &message),
         _ => Err((Code::Unimplemented, format!("{method:?} is no method of a fleet's front end"))),
     };
     match answer {
@@ -168,6 +172,14 @@
             }
         }
         E::Seat(s) => seat(peers, &s)?,
+        E::Roll(r) => {
+            let (entry, fields) = of_roll_entry(r).map_err(|e| bad(&e))?;
+            if let Some(fields) = &fields {
+                (peers.check)(fields).map_err(|e| bad(&e))?;
+                staged(peers, fields)?;
+            }
+            Entry::Roll { entry: Box::new(entry), fields }
+        }
     };
     let slot = peers.enter(entry);
     let slot = slot.ok_or((Code::ResourceExhausted, "too many requests wait: ask again later".into()))?;
@@ -181,7 +193,7 @@
         Ok(applied) => {
             let version = match &applied {
                 Applied::Told(v) | Applied::Again(v) => v.0,
-                Applied::Stepped(_) | Applied::Roster | Applied::Seats => 0,
+                Applied::Stepped(_) | Applied::Roster | Applied::Seats | Applied::Roll => 0,
             };
             Ok(pb::EnterReply { version, again: matches!(applied, Applied::Again(_)) }.encode_to_vec())
         }
@@ -210,6 +222,60 @@
     }
 }
 
+/// Whether these settings may be tried by some front ends while others act on those in force.
+fn staged(peers: &Peers, fields: &Fields) -> Result<(), (Code, String)> {
+    let strict = peers.with_peer(|p, now| {
+        let state = p.acting(now).state?;
+        let all = changes(&p.setup().schema, &state.force.fields, fields);
+        let strict = all.into_iter().filter(|c| c.kind == Kind::Strict).map(|c| c.path);
+        Some(strict.collect::<Vec<_>>().join(", "))
+    });
+    match strict {
+        Some(paths) if !paths.is_empty() => {
+            let why = format!("{paths}: strict, never two things at once, so that it can't be tried in stages: propose it alone");
+            Err((Code::FailedPrecondition, why))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn roll(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
+    let asked = pb::RollRequest::decode(bytes).map_err(|e| bad(&e))?;
+    same(peers, asked.fleet, fleet)?;
+    peers.with_peer(|p, _| {
+        let Some((_, log)) = p.agreed() else {
+            let why = format!("this front end keeps no log: ask {}", p.root_address());
+            return Err((Code::FailedPrecondition, why));
+        };
+        let (label, path) = log.program().unwrap_or_default();
+        let reply = pb::RollReply {
+            roll: log.roll().and_then(|r| serde_json::to_string(r).ok()).unwrap_or_default(),
+            label: label.into(),
+            path: path.into(),
+            leads: p.log().is_some(),
+        };
+        Ok(reply.encode_to_vec())
+    })
+}
+
+fn counts(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
+    let asked = pb::CountsRequest::decode(bytes).map_err(|e| bad(&e))?;
+    same(peers, asked.fleet, fleet)?;
+    let mut reply = (peers.counts)();
+    peers.with_peer(|p, now| {
+        let (setup, acting) = (p.setup(), p.acting(now));
+        reply.name = setup.name.clone();
+        reply.incarnation = setup.me.incarnation;
+        reply.ready = acting.lease > 0 && acting.stay > 0 && acting.state.is_some();
+        reply.up = p.acts_for(now);
+        reply.seat = p.seats().iter().any(|s| s.0 == setup.me.id);
+        let tries =
+            |s: &State| s.next.is_none() && s.trial.as_ref().is_some_and(|t| t.names.contains(&setup.name));
+        reply.tries = acting.state.is_some_and(tries);
+    });
+    Ok(reply.encode_to_vec())
+}
+
 fn history(peers: &Peers, fleet: u64, bytes: &[u8]) -> Answer {
     let asked = pb::HistoryRequest::decode(bytes).map_err(|e| bad(&e))?;
     same(peers, asked.fleet, fleet)?;
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -185,7 +185,11 @@
     own.insert("front.listen".into(), Value::Text(settings.gateway.listen.to_string()));
     own.insert("front.http".into(), Value::Text(settings.gateway.http.to_string()));
     let first = agree::version(name, text).map_err(|e| e.to_string())?;
-    Ok(Some(Place { own, first, via: a.via.iter().copied().collect() }))
+    let zone = match own.get("front.zone") {
+        Some(Value::Text(zone)) => zone.clone(),
+        _ => String::new(),
+    };
+    Ok(Some(Place { own, first, via: a.via.iter().copied().collect(), zone }))
 }
 
 /// Serves on the platform.
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -10,7 +10,8 @@
 use tansy_agree::list::{Line, Standing, Worker as Named};
 use tansy_agree::log::{Phase, Settings as Version, State};
 use tansy_agree::rule::{apart, lapsed, Fields, Rules, Schema, Touch};
-use tansy_front::{Contested, Terms};
+use tansy_fleet_wire::pb;
+use tansy_front::{Contested, Counted, Terms};
 use tansy_net_front::{Hub, Names, Worker};
 use tansy_net_peers::{Peers, Setup};
 use tansy_net_sockets::Spawner;
@@ -20,6 +21,9 @@
 /// A lease's part of the time within which no two front ends contradict each other, in tenths.
 const LEASE_TENTHS: i64 = 3;
 
+/// The variable by which a supervisor tells a process of which program it is.
+pub const LABEL: &str = "TANSY_LABEL";
+
 /// What a gateway is told of its place in a fleet, beside its settings.
 #[derive(Debug, Default, Clone)]
 pub struct Place {
@@ -29,6 +33,8 @@
     pub first: Fields,
     /// Front ends and workers that are reached through another address than their own.
     pub via: HashMap<SocketAddr, SocketAddr>,
+    /// Where it stands.
+    pub zone: String,
 }
 
 /// What the ledger was given.
@@ -71,6 +77,7 @@
 
 struct Adopter {
     hub: Rc<Hub>,
+    name: String,
     own: Fields,
     schema: Schema,
     for_about: i64,
@@ -125,6 +132,7 @@
     };
     let adopter = Rc::new(Adopter {
         hub,
+        name: fleet.me.clone(),
         own: place.own.clone(),
         schema,
         for_about: lease.span,
@@ -136,7 +144,11 @@
     });
     adopter.nothing_yet(&place.first)?;
     let check = Rc::new(|fields: &Fields| agree::check(fields).map_err(|e| e.to_string()));
-    let setup = Setup { peer, fleet: fleet.name.clone(), seat: file, via: place.via.clone(), check };
+    let (counted, zone) = (adopter.hub.clone(), place.zone.clone());
+    adopter.hub.count();
+    let label = std::env::var(LABEL).unwrap_or_default();
+    let counts = Rc::new(move || counts(&counted, &zone, &label));
+    let setup = Setup { peer, fleet: fleet.name.clone(), seat: file, via: place.via.clone(), check, counts };
     let acts = adopter.clone();
     let peers = Peers::start(spawner, listener, setup, Rc::new(move |peer, now| acts.acts(peer, now)))?;
     Ok(Member { peers, adopter })
@@ -163,6 +175,43 @@
     }
 }
 
+fn counts(hub: &Hub, zone: &str, label: &str) -> pb::CountsReply {
+    let (account, _) = hub.account();
+    let classes = hub.with_front(|f| {
+        let one = |(name, c): (&String, &Counted)| {
+            let (took, calls) =
+                c.latency.iter_recorded().map(|v| (v.value_iterated_to(), v.count_at_value())).unzip();
+            pb::Counted {
+                class: name.clone(),
+                asked: c.asked,
+                served: c.served,
+                refused: c.refused,
+                failed: c.failed,
+                wanted: c.wanted,
+                worth: c.worth,
+                took,
+                calls,
+            }
+        };
+        f.counts().into_iter().flat_map(|c| c.classes().iter().map(one)).collect()
+    });
+    pb::CountsReply {
+        zone: zone.into(),
+        label: label.into(),
+        memory: memory(),
+        guarded: account.guarded,
+        classes,
+        ..Default::default()
+    }
+}
+
+/// Bytes that this process holds in memory; 0: it can't be told.
+fn memory() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|p| p.parse::<u64>().ok());
+    pages.unwrap_or(0) * rustix::param::page_size() as u64
+}
+
 fn line(w: &WorkerLine) -> Line {
     let worker = Named { name: w.listed.name.clone(), address: w.address.to_string() };
     let standing = match w.listed.state {
@@ -262,6 +311,7 @@
     }
 
     fn ready_for(&self, state: &State) -> Result<Ready, String> {
+        let state = &state.at(&self.name);
         let fill = |v: &Version| agree::filled(&v.fields).map_err(|e| e.to_string());
         let (force, mut strange) = fill(&state.force)?;
         let mut filled = state.clone();
--- a/protocol/fleet/src/lib.rs
+++ b/protocol/fleet/src/lib.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use tansy_agree::lease::{Ask, Grant, Member};
 use tansy_agree::list::{Line, Standing, Worker, LEAVING};
-use tansy_agree::log::{Phase, Settings, State, Step, Version};
+use tansy_agree::log::{Phase, Settings, State, Step, Trial, Version};
 use tansy_agree::member::Message;
 use tansy_agree::rule::{Fields, Value};
 use tansy_agree::stay;
@@ -227,10 +227,14 @@
     }
 }
 
+fn of_fields(fields: impl IntoIterator<Item = (String, pb::Value)>) -> Result<Fields, Bad> {
+    let field = |(path, v)| Ok((words(path, "field's path")?, of_value(v, DEPTH)?));
+    fields.into_iter().map(field).collect()
+}
+
 /// A version as it was written.
 pub fn of_settings(s: pb::Settings) -> Result<Settings, Bad> {
-    let field = |(path, v)| Ok((words(path, "field's path")?, of_value(v, DEPTH)?));
-    let fields = s.fields.into_iter().map(field).collect::<Result<Fields, Bad>>()?;
+    let fields = of_fields(s.fields)?;
     Ok(Settings { version: Version(s.version), fields, why: words(s.why, "reason")?, id: s.id })
 }
 
@@ -247,6 +251,10 @@
         force: Some(settings(&s.force)),
         next: s.next.as_ref().map(|(n, _)| settings(n)),
         phase: phase as i32,
+        trial: s.trial.as_ref().map(|t| pb::Trial {
+            fields: t.fields.iter().map(|(p, v)| (p.clone(), value(v))).collect(),
+            names: t.names.iter().cloned().collect(),
+        }),
     }
 }
 
@@ -265,5 +273,72 @@
         (None, None) => None,
         _ => return Err(Bad::Part("version under way")),
     };
-    Ok(State { step: Step(s.step), force, next })
+    let trial = s.trial.map(|t| {
+        let names = t.names.into_iter().map(|n| words(n, "name")).collect::<Result<_, _>>()?;
+        Ok(Box::new(Trial { fields: of_fields(t.fields)?, names }))
+    });
+    Ok(State { step: Step(s.step), force, next, trial: trial.transpose()? })
+}
+
+/// A roll's step as it is written.
+pub fn roll_entry(entry: &tansy_rollout::Entry, fields: Option<&Settings>) -> pb::Roll {
+    // Plain data always has an encoding.
+    let entry = serde_json::to_string(entry).unwrap_or_default();
+    pb::Roll { entry, fields: fields.map(settings) }
+}
+
+/// A roll's step as it was written.
+pub fn of_roll_entry(r: pb::Roll) -> Result<(tansy_rollout::Entry, Option<Fields>), Bad> {
+    let entry = serde_json::from_str(&r.entry).map_err(|e| Bad::Noise(format!("a roll's step: {e}")))?;
+    let fields = r.fields.map(of_settings).transpose()?.map(|s| s.fields);
+    Ok((entry, fields))
+}
+
+/// What a seat knows of the last roll; none: there was none.
+pub fn of_roll(text: &str) -> Result<Option<tansy_rollout::Roll>, Bad> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    serde_json::from_str(text).map(Some).map_err(|e| Bad::Noise(format!("a roll: {e}")))
+}
+
+/// Distinct latencies of a class that are taken.
+const LATENCIES: usize = 4096;
+
+/// What a front end counted, as a look for a verdict. `new`: whether it is on the new side.
+pub fn of_counts(c: pb::CountsReply, new: bool) -> Result<tansy_rollout::Front, Bad> {
+    let mut classes = std::collections::BTreeMap::new();
+    for c in c.classes {
+        if c.took.len() != c.calls.len() || c.took.len() > LATENCIES {
+            return Err(Bad::Part("list of latencies"));
+        }
+        if !(c.wanted.is_finite() && c.worth.is_finite()) {
+            return Err(Bad::Part("worth"));
+        }
+        let mut t = tansy_verdict::Tally {
+            asked: c.asked,
+            served: c.served,
+            refused: c.refused,
+            failed: c.failed,
+            wanted: c.wanted,
+            worth: c.worth,
+            ..Default::default()
+        };
+        for (took, calls) in c.took.into_iter().zip(c.calls) {
+            // A histogram of two digits grows by some bytes for each time it doubles.
+            t.latency.record_n(took, calls).map_err(|_| Bad::Part("latency"))?;
+        }
+        classes.insert(words(c.class, "class")?, t);
+    }
+    let report = tansy_verdict::Report {
+        name: words(c.name, "name")?,
+        zone: words(c.zone, "zone")?,
+        new,
+        incarnation: c.incarnation,
+        up: c.up as f64 / 1e6,
+        classes,
+        memory: c.memory as f64 / 1e6,
+        guarded: c.guarded,
+    };
+    Ok(tansy_rollout::Front { ready: c.ready, report })
 }
--- a/protocol/fleet/tests/letters.rs
+++ b/protocol/fleet/tests/letters.rs
@@ -2,7 +2,7 @@
 
 use tansy_agree::lease::{Ask, Grant, Member};
 use tansy_agree::list::{Line, Standing, Worker};
-use tansy_agree::log::{Phase, Settings, State, Step, Version};
+use tansy_agree::log::{Phase, Settings, State, Step, Trial, Version};
 use tansy_agree::member::Message;
 use tansy_agree::rule::Value;
 use tansy_agree::stay;
@@ -27,7 +27,9 @@
     let fields = fields.into_iter().map(|(p, v)| (p.to_string(), v)).collect();
     let force = Settings { version: Version(7), fields, why: "because".into(), id: u64::MAX };
     let next = Settings { version: Version(8), fields: Default::default(), ..force.clone() };
-    State { step: Step(19), force, next: Some((next, Phase::Joint)) }
+    let names = ["f1".to_string(), "f2".to_string()].into();
+    let trial = Some(Box::new(Trial { fields: force.fields.clone(), names }));
+    State { step: Step(19), force, next: Some((next, Phase::Joint)), trial }
 }
 
 fn bodies() -> Vec<Body> {
