tansy-fleet up keeps a machine's front ends; roll changes program or settings in stages

Need: one command for a change over the whole fleet, that goes on when its steerer dies. Change: up (start, ready, drain, kill, pauses that double, processes found again by what the kernel says of them, programs stored by digest), steer, roll begin, status, pause, resume, abort, report. Front ends that try settings are valued by the yardstick of those in force.

--- a/decide/front/src/count.rs
+++ b/decide/front/src/count.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     classes: BTreeMap<String, Counted>,
+    /// By which classes answers are valued, where that is not how they are decided.
+    yard: BTreeMap<String, Class>,
 }
 
 impl Counts {
@@ -48,6 +50,12 @@
         &self.classes
     }
 
+    /// Answers are valued by these classes from now on, by name: front ends that are compared need one yardstick, also
+    /// while some of them act on other settings.
+    pub(crate) fn value_by(&mut self, classes: BTreeMap<String, Class>) {
+        self.yard = classes;
+    }
+
     /// A call ended after so long; no answer: its client left.
     pub(crate) fn end(&mut self, name: &str, class: &Class, answer: Option<Answer>, took: Span) {
         let full = self.classes.len() >= CLASSES;
@@ -55,6 +63,7 @@
         if !self.classes.contains_key(name) {
             self.classes.insert(name.to_string(), Counted::new());
         }
+        let class = self.yard.get(name).unwrap_or(class);
         let Some(c) = self.classes.get_mut(name) else { return };
         (c.asked, c.wanted) = (c.asked + 1, c.wanted + 1.0);
         match answer {
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -205,6 +205,10 @@
     pub fn count(&mut self) {
         self.counts.get_or_insert_default();
     }
+    /// What is counted is valued by these classes, by name, whatever the settings in use say.
+    pub fn value_by(&mut self, classes: BTreeMap<String, module::Class>) {
+        self.counts.get_or_insert_default().value_by(classes);
+    }
     /// Final answers by class, if they are counted.
     pub fn counts(&self) -> Option<&Counts> {
         self.counts.as_deref()
--- a/decide/rollout/src/lib.rs
+++ b/decide/rollout/src/lib.rs
@@ -13,7 +13,7 @@
 mod steer;
 
 pub use keep::{Act, Ended, Keep, Limits, Pid, Wanted};
-pub use roll::{Entry, Fallen, Phase, Place, Plan, Refused, Roll, Undecided, What};
+pub use roll::{Entry, Fallen, Phase, Place, Plan, Refused, Roll, Seen, Undecided, What};
 pub use steer::{Front, Steer};
 
 /// Microseconds of the caller's monotonic clock.
--- a/decide/rollout/src/roll.rs
+++ b/decide/rollout/src/roll.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use tansy_verdict::{Measured, Verdict};
 
 /// Front ends that a roll may have.
 const FRONTS: usize = 10_000;
@@ -163,6 +164,19 @@
     pub again: u32,
 }
 
+/// What whoever steers sees of a stage.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The stage, from 0.
+    pub stage: usize,
+    /// For how long it has stood, seconds.
+    pub stood: u64,
+    /// What is compared.
+    pub measured: Vec<Measured>,
+    /// What is said.
+    pub verdict: Option<Verdict>,
+}
+
 /// One agreed step. `at`: the step that it goes on from. `fence`: of whoever steers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Entry {
@@ -188,6 +202,8 @@
     Beat {
         /// Its fence.
         fence: u64,
+        /// What it sees by now, if there is more than at the last beat.
+        seen: Option<Box<Seen>>,
     },
     /// This front end may be changed now, and be away for it.
     Let {
@@ -324,6 +340,8 @@
     pub why: String,
     /// Its steps in words, the latest last.
     pub steps: Vec<String>,
+    /// Each stage as it was seen last.
+    pub seen: Vec<Seen>,
 }
 
 impl Roll {
@@ -350,6 +368,7 @@
             fallen: Vec::new(),
             why,
             steps,
+            seen: Vec::new(),
         })
     }
 
@@ -413,7 +432,7 @@
                     Err(Refused::Fenced)
                 }
             }
-            Entry::Beat { fence } => {
+            Entry::Beat { fence, .. } => {
                 if *fence == self.fence {
                     Ok(())
                 } else {
@@ -457,7 +476,13 @@
                     self.judged = self.judged.saturating_add(1);
                 }
             }
-            Entry::Beat { .. } => self.beat += 1,
+            Entry::Beat { seen, .. } => {
+                self.beat += 1;
+                if let Some(seen) = seen {
+                    self.seen.retain(|s| s.stage < seen.stage);
+                    self.seen.push(*seen);
+                }
+            }
             Entry::Let { name, .. } => {
                 self.moved.remove(&name);
                 self.moving.insert(name);
--- a/decide/rollout/src/steer.rs
+++ b/decide/rollout/src/steer.rs
@@ -1,9 +1,9 @@
 //! Whoever steers.
 
-use crate::roll::{Entry, Phase, Roll, Undecided, What};
+use crate::roll::{Entry, Phase, Roll, Seen, Undecided, What};
 use crate::{Time, SECOND};
 use std::collections::BTreeMap;
-use tansy_verdict::{Death, Judge, Measured, Report, Terms, Verdict};
+use tansy_verdict::{Death, Judge, Report, Terms, Verdict};
 
 /// Whoever steers tells that it is there so often.
 const BEAT: Time = SECOND;
@@ -41,6 +41,8 @@
     /// Worth lost to the change, and all that was asked for.
     spent: (f64, f64),
     last: Option<Verdict>,
+    /// What the next beat tells.
+    news: Option<Seen>,
 }
 
 impl Steer {
@@ -60,15 +62,10 @@
             told: 0,
             spent: (0.0, 0.0),
             last: None,
+            news: None,
         }
     }
 
-    /// What is compared by now, and what is said of it; where it steers.
-    pub fn found(&self) -> (Vec<Measured>, Option<Verdict>) {
-        let measured = self.judge.as_ref().map(|j| j.1.measured()).unwrap_or_default();
-        (measured, self.last.clone())
-    }
-
     /// The next step, if there is one to take.
     pub fn look(&mut self, now: Time, roll: &Roll, fronts: &[Front]) -> Option<Entry> {
         if roll.over() {
@@ -99,12 +96,14 @@
             Phase::Judging => self.judges(now, roll),
             Phase::Done | Phase::Stopped => None,
         };
-        if step.is_some() {
+        if step.is_some() && (self.news.is_none() || roll.phase != Phase::Judging) {
             return step;
         }
-        (now >= self.next_beat).then(|| {
+        // What a stage is judged by is told before its verdict.
+        let tells = step.is_some();
+        (tells || now >= self.next_beat).then(|| {
             self.next_beat = now + BEAT;
-            Entry::Beat { fence: roll.fence }
+            Entry::Beat { fence: roll.fence, seen: self.news.take().map(Box::new) }
         })
     }
 
@@ -159,6 +158,9 @@
         let reports: Vec<Report> = fronts.iter().map(|f| f.report.clone()).collect();
         judge.look(&reports, judging);
         if judging {
+            let stood = self.judging.map_or(0, |j| ((now - j.1) / SECOND) as u64);
+            let verdict = Some(judge.verdict());
+            self.news = Some(Seen { stage: roll.stage, stood, measured: judge.measured(), verdict });
             let all: f64 = fronts.iter().flat_map(|f| f.report.classes.values()).map(|t| t.wanted).sum();
             let side: f64 = fronts
                 .iter()
--- a/decide/rollout/tests/roll.rs
+++ b/decide/rollout/tests/roll.rs
@@ -59,7 +59,7 @@
     assert_eq!(r.apply(Entry::Steer { fence: 2, who: "u".into() }), Err(Refused::Fenced), "one was first");
     let at = r.at;
     assert_eq!(r.apply(Entry::Moved { at, fence, name: "f0".into() }), Err(Refused::Fenced));
-    assert_eq!(r.apply(Entry::Beat { fence }), Err(Refused::Fenced));
+    assert_eq!(r.apply(Entry::Beat { fence, seen: None }), Err(Refused::Fenced));
     assert_eq!(moved(&mut r, "f0"), Ok(()));
 }
 
--- a/decide/verdict/src/judge.rs
+++ b/decide/verdict/src/judge.rs
@@ -2,7 +2,7 @@
 
 use crate::evidence::{Before, Estimate, Evidence, Point};
 use crate::tally::{Report, Tally};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a verdict rests on.
@@ -39,7 +39,7 @@
 }
 
 /// One difference that was looked at.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Measured {
     /// Which: `service`, `service class NAME`, `service zone NAME`, `slow`, `refused`, `spill`.
     pub what: String,
@@ -58,8 +58,8 @@
 }
 
 /// What is said of the new side.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(tag = "is", rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// It does worse.
     Worse {
@@ -353,7 +353,8 @@
                 old: old / of_old.max(1.0),
                 new: new / of_new.max(1.0),
                 loss: e.mean,
-                half: e.half,
+                // A share can't be lost more than once.
+                half: e.half.min(1.0),
                 lately: e.lately,
                 slices: e.slices,
             }
--- a/net/front/src/hub.rs
+++ b/net/front/src/hub.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -241,6 +241,11 @@
         self.state.borrow_mut().front.count();
     }
 
+    /// Has what is counted valued by these classes, by name, whatever the settings in use say.
+    pub fn value_by(&self, classes: BTreeMap<String, tansyrouter::Class>) {
+        self.state.borrow_mut().front.value_by(classes);
+    }
+
     /// The counts, and calls still open.
     pub fn account(&self) -> (Account, u64) {
         let state = self.state.borrow();
--- a/programs/fleet/src/client.rs
+++ b/programs/fleet/src/client.rs
@@ -1,11 +1,14 @@
 //! Requests to front ends, several at a time.
 
+use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
 use prost::Message;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tansy_fleet_wire::pb;
 use tansy_net_grpc::link::{Limits, Link};
@@ -58,7 +61,7 @@
                 }
             });
         }
-        let end = Instant::now() + within + Duration::from_secs(1);
+        let end = Instant::now() + within + Duration::from_millis(300);
         while answers.borrow().iter().any(Option::is_none) && Instant::now() < end {
             if self.event_loop.dispatch(Some(Duration::from_millis(20)), &mut ()).is_err() {
                 break;
@@ -105,6 +108,40 @@
         self.one(seat, "Enter", &request.encode_to_vec(), ENTRY_WITHIN)
     }
 
+    /// The status of one, within this time.
+    pub fn status_within(&mut self, to: SocketAddr, within: Duration) -> Result<pb::StatusReply, Failed> {
+        self.one(to, "Status", &pb::StatusRequest { fleet: 0 }.encode_to_vec(), within)
+    }
+
+    /// What several know of the last roll.
+    pub fn rolls(&mut self, to: &[SocketAddr], within: Duration) -> Vec<Result<pb::RollReply, Failed>> {
+        self.all(to, "Roll", &pb::RollRequest { fleet: 0 }.encode_to_vec(), within)
+    }
+
+    /// What several counted.
+    pub fn counts(&mut self, to: &[SocketAddr], within: Duration) -> Vec<Result<pb::CountsReply, Failed>> {
+        self.all(to, "Counts", &pb::CountsRequest { fleet: 0 }.encode_to_vec(), within)
+    }
+
+    /// An entry for the log, within this time.
+    pub fn enter_within(
+        &mut self,
+        seat: SocketAddr,
+        entry: pb::enter_request::Entry,
+        within: Duration,
+    ) -> Result<pb::EnterReply, Failed> {
+        let request = pb::EnterRequest { fleet: 0, entry: Some(entry) };
+        self.one(seat, "Enter", &request.encode_to_vec(), within)
+    }
+
+    /// Sets this once the process is asked to end, by SIGTERM or SIGINT.
+    pub fn on_end(&self, end: Arc<AtomicBool>) -> io::Result<()> {
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
+        let told = move |_, _: &mut (), _: &mut ()| end.store(true, Ordering::Relaxed);
+        let inserted = self.event_loop.handle().insert_source(signals, told);
+        inserted.map(|_| ()).map_err(|e| io::Error::other(e.to_string()))
+    }
+
     /// Lets time pass.
     pub fn wait(&mut self, span: Duration) {
         let end = Instant::now() + span;
--- a/programs/fleet/src/lib.rs
+++ b/programs/fleet/src/lib.rs
@@ -1,7 +1,11 @@
 //! `tansy-fleet`: what operators ask of a fleet of front ends.
 
 pub mod client;
+pub mod processes;
+pub mod report;
+pub mod roll;
 pub mod show;
+pub mod up;
 
 use clap::{Parser, Subcommand};
 use client::Client;
@@ -88,6 +92,26 @@
     },
     /// Who keeps the agreed log, and who of them leads.
     Seats,
+    /// Keeps the front ends of this machine as processes, and steers rolls where nobody else does, until SIGTERM or SIGINT.
+    Up {
+        /// The machine's file (TOML).
+        #[arg(long)]
+        fleet: PathBuf,
+        /// What is logged: error, warn, info, debug.
+        #[arg(long, default_value = "info")]
+        log: String,
+    },
+    /// Steers rolls where nobody else does, without front ends of its own.
+    Steer {
+        /// Its name among all that may steer.
+        #[arg(long)]
+        name: String,
+    },
+    /// A change of the program or of settings in stages.
+    Roll {
+        #[command(subcommand)]
+        asked: roll::Asked,
+    },
     /// Makes a front end a seat in the place of another, dead or alive, and waits until it is. It has to run with `--state`.
     Seat {
         /// The name of the one that is to become a seat.
@@ -163,6 +187,12 @@
 }
 
 fn run(a: &Arguments) -> Result<(), Not> {
+    if let What::Up { fleet, log } = &a.what {
+        let filter = tracing_subscriber::EnvFilter::try_new(log);
+        let filter = filter.map_err(|e| Not::Right(format!("--log {log:?}: {e}")))?;
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+        return up::run(fleet).map_err(Not::Right);
+    }
     let mut client = Client::new().map_err(|e| Not::Reached(e.to_string()))?;
     match &a.what {
         What::Status => {
@@ -212,6 +242,9 @@
             say(a, &format!("{name} is on the roster no more"));
             Ok(())
         }
+        What::Up { .. } => Ok(()),
+        What::Steer { name } => up::steer(name, &[a.at]).map_err(Not::Reached),
+        What::Roll { asked } => roll::run(a, &mut client, asked),
         What::Seat { new, instead, wait } => replace(a, &mut client, new, instead, *wait),
         What::Seats => {
             // A seat knows who they are; others know those of their settings.
--- a/programs/gateway/src/fleet.rs
+++ b/programs/gateway/src/fleet.rs
@@ -323,6 +323,9 @@
                 strange.extend(unknown);
             }
         }
+        // Those that try other settings are valued as their siblings are.
+        let force = agree::settings(&self.own, &filled.force.fields).map_err(|e| e.to_string())?.front;
+        self.hub.value_by(force.classes.into_iter().zip(force.settings.classes).collect());
         let mut rules = filled.rules(&self.schema);
         rules.refused.extend(strange);
         let made = |rules: &Rules| self.terms(rules).map_err(|e| e.to_string());
