--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -3,7 +3,7 @@
 use crate::io::{ends, Flusher, Io};
 use bytes::Bytes;
 use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Request, Response};
@@ -68,6 +68,8 @@
     wakers: RefCell<HashMap<u64, Waker>>,
     next: Cell<u64>,
     resume: RefCell<Option<calloop::ping::Ping>>,
+    /// Until it is closed: the listener, and what waits for connections on it.
+    listens: RefCell<Option<(Rc<TcpListener>, Vec<RegistrationToken>)>>,
 }
 
 impl Server {
@@ -90,12 +92,14 @@
             wakers: RefCell::new(HashMap::new()),
             next: Cell::new(0),
             resume: RefCell::new(None),
+            listens: RefCell::new(None),
         });
         // A listener that is full is not read until a connection ends; the ping wakes it.
         let (ping, pinged) = calloop::ping::make_ping()?;
         *server.resume.borrow_mut() = Some(ping);
         let listener = Rc::new(listener);
         let inserted = |e: String| io::Error::other(e);
+        let mut sources = Vec::new();
         let (a, b) = (server.clone(), listener.clone());
         let source = Generic::new(
             OwnedListener(listener.try_clone()?),
@@ -103,16 +107,15 @@
             // Edge: what is left in the queue when the server is full is taken when a connection ends.
             Mode::Edge,
         );
-        spawner
-            .handle()
-            .insert_source(source, move |_, _, ()| {
-                a.accept(&b);
-                Ok(if a.closing.get() { PostAction::Remove } else { PostAction::Continue })
-            })
-            .map_err(|e| inserted(e.to_string()))?;
-        let a = server.clone();
-        let pinged = spawner.handle().insert_source(pinged, move |(), _, ()| a.accept(&listener));
-        pinged.map_err(|e| inserted(e.to_string()))?;
+        let accepts = spawner.handle().insert_source(source, move |_, _, ()| {
+            a.accept(&b);
+            Ok(PostAction::Continue)
+        });
+        sources.push(accepts.map_err(|e| inserted(e.to_string()))?);
+        let (a, b) = (server.clone(), listener.clone());
+        let pinged = spawner.handle().insert_source(pinged, move |(), _, ()| a.accept(&b));
+        sources.push(pinged.map_err(|e| inserted(e.to_string()))?);
+        *server.listens.borrow_mut() = Some((listener, sources));
         Ok(server)
     }
 
@@ -121,7 +124,14 @@
     }
 
     /// Takes no new connection, and tells clients to open no new stream; those open go on.
-    pub fn close(&self) {
+    ///
+    /// Connections that the kernel has taken by now are served as the others; whoever comes later is turned away by the
+    /// kernel, and knows at once to go elsewhere. Left in the queue, they would wait for an answer that never comes.
+    pub fn close(self: &Rc<Self>) {
+        if let Some((listener, sources)) = self.listens.borrow_mut().take() {
+            self.accept(&listener);
+            sources.into_iter().for_each(|s| self.spawner.handle().remove(s));
+        }
         self.closing.set(true);
         self.wake_all();
     }
--- a/programs/day/src/agree.rs
+++ b/programs/day/src/agree.rs
@@ -524,6 +524,7 @@
         seed: play.seed ^ u64::from(witness),
         prefix: if witness { "witness" } else { "call" },
         plain: witness,
+        until: None,
     };
     let clients = |plan: Plan| {
         std::thread::spawn(move || -> Result<Seen, String> {
--- a/programs/day/src/lib.rs
+++ b/programs/day/src/lib.rs
@@ -1,6 +1,7 @@
 //! The scripted bad day: processes, load, faults, and the auditor's verdict.
 //!
 //! - [`agree`]: versions of settings under load, through faults between front ends.
+//! - [`roll`]: a new program in stages, through faults; [`plant`]: the mistakes that one may have.
 //! - [`load`]: the clients.
 //! - [`cast`]: the processes and the relay between them.
 //! - [`script`]: what goes wrong, and when.
@@ -9,6 +10,8 @@
 pub mod agree;
 pub mod cast;
 pub mod load;
+pub mod plant;
+pub mod roll;
 pub mod scenario;
 pub mod script;
 
--- a/programs/day/src/load.rs
+++ b/programs/day/src/load.rs
@@ -11,7 +11,8 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
 use tansy_frames::grpc::{frame, spell_timeout, Code};
 use tansy_inference::inference as pb;
@@ -38,6 +39,8 @@
     pub prefix: &'static str,
     /// Calls are of one answer, read at once and never cancelled; functions are asked for equally often.
     pub plain: bool,
+    /// No call is begun once this is set.
+    pub until: Option<Arc<AtomicBool>>,
 }
 
 /// What the clients saw.
@@ -69,6 +72,10 @@
     }
 }
 
+/// Front ends that a client asks at most, one after the other, while it reaches none.
+const TRIES: usize = 4;
+/// The code of a RST_STREAM for a stream that was not looked at.
+const REFUSED_STREAM: u32 = 7;
 /// Connections of each front end.
 const CONNECTIONS: usize = 4;
 const CALL: &str = "http://day/inference.GRPCInferenceService/ModelInfer";
@@ -86,6 +93,8 @@
     Failed,
     Cancelled,
     Lost,
+    /// No connection could be had: nothing was sent.
+    NotSent,
 }
 
 /// Runs the clients on this thread; `told` gets the part of the day that has passed, again and again.
@@ -97,9 +106,13 @@
     let seen = Seen::nothing()?;
     let counts = Rc::new(Counts { open: Cell::new(0), seen: RefCell::new(seen) });
     let mut rng = fastrand::Rng::with_seed(plan.seed);
-    let (start, total) = (Instant::now(), (plan.rate as f64 * plan.seconds) as u64);
+    let (start, mut total) = (Instant::now(), (plan.rate as f64 * plan.seconds) as u64);
     let (mut sent, mut announced) = (0u64, 0);
-    while sent < total || counts.open.get() > 0 && start.elapsed().as_secs_f64() < plan.seconds + 5.0 {
+    let mut seconds = plan.seconds;
+    while sent < total || counts.open.get() > 0 && start.elapsed().as_secs_f64() < seconds + 5.0 {
+        if sent < total && plan.until.as_ref().is_some_and(|u| u.load(Ordering::Relaxed)) {
+            (total, seconds) = (sent, start.elapsed().as_secs_f64());
+        }
         let due = start + Duration::from_nanos(1_000_000_000 * sent / plan.rate);
         if sent < total && due <= Instant::now() {
             let call = one(spawner.clone(), counts.clone(), &links, plan, sent, &mut rng);
@@ -137,7 +150,10 @@
     n: u64,
     rng: &mut fastrand::Rng,
 ) -> impl std::future::Future<Output = ()> + 'static {
-    let link = links[rng.usize(..links.len())].clone();
+    // A client that reaches nobody asks the next front end.
+    let first = rng.usize(..links.len());
+    let others: Vec<Rc<Link>> =
+        (0..TRIES).map(|n| links[(first + n * (CONNECTIONS + 1)) % links.len()].clone()).collect();
     // Some functions are asked for more often than others.
     let place = (rng.f64() * if plan.plain { 1.0 } else { rng.f64() } * plan.functions.len() as f64) as usize;
     let (function, budget) = plan.functions[place.min(plan.functions.len() - 1)].clone();
@@ -173,7 +189,16 @@
         counts.open.set(counts.open.get() + 1);
         let began = Instant::now();
         let mut first = None;
-        let call = exchange(&spawner, &link, body, stream, budget, slow, &mut first);
+        let call = async {
+            let mut ended = Ended::NotSent;
+            for link in &others {
+                ended = exchange(&spawner, link, body.clone(), stream, budget, slow, &mut first).await;
+                if ended != Ended::NotSent {
+                    break;
+                }
+            }
+            ended
+        };
         let ended = match cancel {
             Some(after) => {
                 tansy_net_sockets::within(spawner.sleep(after), call).await.unwrap_or(Ended::Cancelled)
@@ -193,7 +218,7 @@
             Ended::Refused => s.refused += 1,
             Ended::Failed => s.failed += 1,
             Ended::Cancelled => s.cancelled += 1,
-            Ended::Lost => s.lost += 1,
+            Ended::Lost | Ended::NotSent => s.lost += 1,
         }
     }
 }
@@ -208,9 +233,9 @@
     first: &mut Option<u64>,
 ) -> Ended {
     let began = Instant::now();
-    let Ok(mut connection) = link.connection().await else { return Ended::Lost };
+    let Ok(mut connection) = link.connection().await else { return Ended::NotSent };
     if poll_fn(|cx| connection.send.poll_ready(cx)).await.is_err() {
-        return Ended::Lost;
+        return Ended::NotSent;
     }
     let mut request = Request::new(());
     *request.method_mut() = Method::POST;
@@ -224,7 +249,7 @@
         }
     }
     let Ok(mut exchange) = Exchange::start(connection, request, body, !stream, 1 << 20) else {
-        return Ended::Lost;
+        return Ended::NotSent;
     };
     let mut ended = None;
     loop {
@@ -250,6 +275,8 @@
                     Ending::Status(Code::Ok, _) => Ended::Served,
                     Ending::Status(Code::Unavailable, _) => Ended::Refused,
                     Ending::Status(..) => Ended::Failed,
+                    // The server says that it has not looked at it.
+                    Ending::GoawayBelow | Ending::NeverLeft | Ending::Reset(REFUSED_STREAM) => Ended::NotSent,
                     _ => Ended::Lost,
                 };
             }
--- a/programs/day/src/main.rs
+++ b/programs/day/src/main.rs
@@ -6,6 +6,7 @@
 use tansy_audit::{audit, Audit};
 use tansy_day::cast::{Cast, Error};
 use tansy_day::load::{self, Plan};
+use tansy_day::roll::Plant;
 use tansy_day::script::perform;
 use tansy_day::{rules, scenario};
 
@@ -19,6 +20,7 @@
 struct Arguments {
     /// `bad`: every fault in turn. `cold-room`: half of the workers come back cold under more load than the rest bears.
     /// `agree`: versions of settings change in a fleet of front ends, through faults between them.
+    /// `roll`: a new program, with a mistake or none, in stages over front ends in three zones.
     #[arg(long, value_enum, default_value = "bad")]
     scenario: Which,
     /// Calls a second [default: the scenario's].
@@ -39,9 +41,21 @@
     /// Nothing goes wrong.
     #[arg(long)]
     quiet: bool,
-    /// Front ends of `agree`.
-    #[arg(long, default_value_t = 7)]
-    front_ends: usize,
+    /// Front ends of `agree` [default: 7] or `roll` [default: 12].
+    #[arg(long)]
+    front_ends: Option<usize>,
+    /// `roll`: what is wrong with the new program.
+    #[arg(long, value_enum, default_value = "none")]
+    plant: Plant,
+    /// `roll`: seconds that a stage lasts at least.
+    #[arg(long, default_value_t = 20)]
+    least: u64,
+    /// `roll`: seconds by which it has to be over.
+    #[arg(long, default_value_t = 420.0)]
+    longest: f64,
+    /// `roll`: write the report of the roll (HTML) to this file.
+    #[arg(long)]
+    report: Option<std::path::PathBuf>,
     /// How many of them keep the log: 1, 3, 5 or 7.
     #[arg(long, default_value_t = 3)]
     seats: usize,
@@ -70,13 +84,15 @@
     Bad,
     ColdRoom,
     Agree,
+    Roll,
 }
 
 fn main() -> ExitCode {
     // The cast are this program under other names, so that a day needs no second file.
     let mut arguments = std::env::args_os();
     match arguments.nth(1).as_deref().and_then(|a| a.to_str()) {
-        Some("gateway") => return tansy_gateway::cli::main(std::env::args_os().skip(1)),
+        Some("gateway") => return tansy_day::plant::gateway(std::env::args_os().skip(1)),
+        Some("fleet") => return tansy_fleet::main(std::env::args_os().skip(1)),
         Some("worker") => return tansy_worker::main(std::env::args_os().skip(1)),
         _ => {}
     }
@@ -85,8 +101,10 @@
         eprintln!("--workers {n}: the script needs at least 6");
         return ExitCode::from(1);
     }
-    if a.scenario == Which::Agree {
-        return agree(&a);
+    match a.scenario {
+        Which::Agree => return agree(&a),
+        Which::Roll => return roll(&a),
+        Which::Bad | Which::ColdRoom => {}
     }
     match play(&a) {
         Ok(audit) if audit.breaches.is_empty() => {
@@ -127,18 +145,19 @@
 
 /// The day with changes, then the same day without.
 fn agree(a: &Arguments) -> ExitCode {
-    if !(3..=40).contains(&a.front_ends) || !(1..=1000).contains(&a.rounds) {
-        eprintln!("--front-ends {} --rounds {}: want 3 to 40, and 1 to 1000", a.front_ends, a.rounds);
+    let fronts = a.front_ends.unwrap_or(7);
+    if !(3..=40).contains(&fronts) || !(1..=1000).contains(&a.rounds) {
+        eprintln!("--front-ends {fronts} --rounds {}: want 3 to 40, and 1 to 1000", a.rounds);
         return ExitCode::from(1);
     }
-    if ![1, 3, 5, 7].contains(&a.seats) || a.seats > a.front_ends {
+    if ![1, 3, 5, 7].contains(&a.seats) || a.seats > fronts {
         eprintln!("--seats {}: want 1, 3, 5 or 7, and no more than front ends", a.seats);
         return ExitCode::from(1);
     }
     let rate = a.rate.unwrap_or(300);
     let play = tansy_day::agree::Play {
         seed: a.seed,
-        fronts: a.front_ends,
+        fronts,
         seats: a.seats,
         rounds: a.rounds,
         rate,
@@ -189,9 +208,94 @@
     ExitCode::from(if ok { 0 } else { 3 })
 }
 
+/// The last line of `roll`.
+#[derive(serde::Serialize)]
+struct RollLine {
+    scenario: &'static str,
+    seed: u64,
+    plant: Plant,
+    ok: bool,
+    verdict: String,
+    stages: usize,
+    exposed_share: f64,
+    lost: u64,
+    served: f64,
+    served_plain: Option<f64>,
+    breaches: usize,
+    seconds: f64,
+    killed: usize,
+    least_capacity: f64,
+    why: String,
+}
+
+/// The day of a new program, then as long a day without.
+fn roll(a: &Arguments) -> ExitCode {
+    let fronts = a.front_ends.unwrap_or(12);
+    if !(6..=48).contains(&fronts) || fronts % 3 != 0 || a.least == 0 {
+        eprintln!("--front-ends {fronts} --least {}: want 6 to 48, a multiple of 3, and 1 or more", a.least);
+        return ExitCode::from(1);
+    }
+    let rate = a.rate.unwrap_or(400);
+    let play = tansy_day::roll::Play {
+        seed: a.seed,
+        plant: a.plant,
+        fronts,
+        rate,
+        least: a.least,
+        longest: a.longest,
+        plain: None,
+    };
+    let other = |seconds: f64| match a.no_plain {
+        true => Ok(None),
+        false => {
+            let plain = Some(seconds.clamp(5.0, 60.0));
+            tansy_day::roll::play(&tansy_day::roll::Play { plain, plant: Plant::None, ..play.clone() })
+                .map(Some)
+        }
+    };
+    let days = tansy_day::roll::play(&play).and_then(|d| Ok((other(d.seconds)?, d)));
+    let (plain, day) = match days {
+        Ok(days) => days,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(1);
+        }
+    };
+    if let (Some(path), Some(roll)) = (&a.report, &day.roll) {
+        let written =
+            tansy_fleet::report::page(roll).and_then(|p| std::fs::write(path, p).map_err(|e| e.to_string()));
+        if let Err(e) = written {
+            eprintln!("{}: {e}", path.display());
+        }
+    }
+    let all: Vec<&String> = day.breaches.iter().chain(plain.iter().flat_map(|p| &p.breaches)).collect();
+    all.iter().take(a.show).for_each(|b| println!("breach: {b}"));
+    day.steps.iter().for_each(|s| println!("step: {s}"));
+    let wanted = if matches!(a.plant, Plant::None | Plant::Zone) { "done" } else { "stopped" };
+    let line = RollLine {
+        scenario: "roll",
+        seed: a.seed,
+        plant: a.plant,
+        ok: all.is_empty() && day.verdict == wanted,
+        verdict: day.verdict,
+        stages: day.stages,
+        exposed_share: day.exposed_share,
+        lost: day.lost,
+        served: day.served,
+        served_plain: plain.as_ref().map(|p| p.served),
+        breaches: all.len(),
+        seconds: day.seconds,
+        killed: day.killed,
+        least_capacity: day.least_capacity,
+        why: day.why,
+    };
+    println!("{}", serde_json::to_string(&line).unwrap_or_default());
+    ExitCode::from(if line.ok { 0 } else { 3 })
+}
+
 fn play(a: &Arguments) -> Result<Audit, Error> {
     let day = match a.scenario {
-        Which::Bad | Which::Agree => scenario::BAD,
+        Which::Bad | Which::Agree | Which::Roll => scenario::BAD,
         Which::ColdRoom => scenario::COLD,
     };
     let (workers, cores) = (a.workers.unwrap_or(day.workers), a.cores.unwrap_or(day.cores));
@@ -207,6 +311,7 @@
         seed: a.seed,
         prefix: "call",
         plain: false,
+        until: None,
     };
     let (told, passed) = mpsc::channel();
     let clients = std::thread::spawn(move || load::run(&plan, &told).map_err(|e| e.to_string()));
--- a/programs/fleet/src/client.rs
+++ b/programs/fleet/src/client.rs
@@ -4,6 +4,7 @@
 use calloop::EventLoop;
 use prost::Message;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +28,8 @@
 pub struct Client {
     event_loop: EventLoop<'static, ()>,
     spawner: Spawner,
+    /// One to each front end, kept: a connection for each request would fill those who are asked again and again.
+    links: HashMap<SocketAddr, Rc<Link>>,
 }
 
 impl Client {
@@ -34,7 +37,7 @@
     pub fn new() -> io::Result<Client> {
         let event_loop = EventLoop::try_new().map_err(io::Error::other)?;
         let spawner = Spawner::new(event_loop.handle())?;
-        Ok(Client { event_loop, spawner })
+        Ok(Client { event_loop, spawner, links: HashMap::new() })
     }
 
     /// The same to several; the answers in their order.
@@ -47,7 +50,8 @@
     ) -> Vec<Result<T, Failed>> {
         let answers: Answers<T> = Rc::new(RefCell::new(to.iter().map(|_| None).collect()));
         for (n, address) in to.iter().enumerate() {
-            let link = Link::new(self.spawner.clone(), *address, Limits::default());
+            let fresh = || Link::new(self.spawner.clone(), *address, Limits::default());
+            let link = self.links.entry(*address).or_insert_with(fresh).clone();
             let (spawner, answers, request) = (self.spawner.clone(), answers.clone(), request.to_vec());
             let address = *address;
             self.spawner.spawn(async move {
