--- a/programs/day/src/main.rs
+++ b/programs/day/src/main.rs
@@ -231,7 +231,7 @@
 /// The day of a new program, then as long a day without.
 fn roll(a: &Arguments) -> ExitCode {
     let fronts = a.front_ends.unwrap_or(12);
-    if !(6..=48).contains(&fronts) || fronts % 3 != 0 || a.least == 0 {
+    if !(6..=48).contains(&fronts) || !fronts.is_multiple_of(3) || a.least == 0 {
         eprintln!("--front-ends {fronts} --least {}: want 6 to 48, a multiple of 3, and 1 or more", a.least);
         return ExitCode::from(1);
     }
