Recorded letters and seat files are read by later programs; a later entry stops a seat

Need: programs N and N+1 side by side read each other, or say plainly that they do not. A seat skipped an entry that it could not read, and its log became another than the others': decide/seats/src/lib.rs, apply, Err(_) => {}. Shown: a test with an entry of no kind that is known: broken, nothing applied.

--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -140,24 +140,37 @@
     pub(crate) fn held(&mut self, now: Time, done: Result<(), String>, out: &mut Vec<Command>) {
         let mut all = Vec::new();
         self.seats.held(done.is_ok(), &mut all);
-        if let (Err(why), None) = (done, &self.broken) {
+        if let Err(why) = done {
             // What became of the record is not known until the file is read again; nothing is told of it.
-            for p in self.waiting.drain(..) {
-                let outcome = Err(Refusal::Disk(why.clone()));
-                out.extend(p.request.map(|request| Command::Answer { request, outcome }));
-            }
-            self.proposed.clear();
-            out.push(Command::Note(Note::Disk { why: why.clone() }));
-            self.broken = Some(why);
+            self.fail(why, out);
         }
         self.take(now, all, out);
     }
 
+    /// It takes no entry from here on.
+    fn fail(&mut self, why: String, out: &mut Vec<Command>) {
+        if self.broken.is_some() {
+            return;
+        }
+        for p in self.waiting.drain(..) {
+            let outcome = Err(Refusal::Disk(why.clone()));
+            out.extend(p.request.map(|request| Command::Answer { request, outcome }));
+        }
+        self.proposed.clear();
+        out.push(Command::Note(Note::Disk { why: why.clone() }));
+        self.broken = Some(why);
+    }
+
     fn take(&mut self, now: Time, all: Vec<Out>, out: &mut Vec<Command>) {
         for o in all {
             match o {
                 Out::Send { to, bytes } => out.push(Command::Seat { to, bytes }),
                 Out::Hold { record, whole } => out.push(Command::Hold { record, whole }),
+                Out::Strange => {
+                    let why =
+                        "the agreed log holds what a later program wrote: finish the update of the programs";
+                    self.fail(why.to_string(), out);
+                }
                 Out::Applied { mine, entry, outcome } => self.applied_one(now, mine, entry, outcome, out),
             }
         }
--- a/decide/seats/src/lib.rs
+++ b/decide/seats/src/lib.rs
@@ -110,6 +110,9 @@
         /// All that there is, this record included.
         whole: Option<Vec<u8>>,
     },
+    /// The order holds what this program does not know: a later one's. This seat takes part no more, since whatever it
+    /// made of it would be another log than the others'.
+    Strange,
     /// An entry was agreed on and applied.
     Applied {
         /// The number that it was proposed with here; none: by another, or by an earlier process.
@@ -438,8 +441,13 @@
             let mut snapshot = None;
             if !ready.snapshot().get_metadata().get_conf_state().voters.is_empty() {
                 let snap = wire::snap(ready.snapshot(), first);
-                if let Ok(log) = postcard::from_bytes(&snap.log) {
-                    (self.log, self.applied, self.term) = (Some(log), snap.index, snap.term);
+                match postcard::from_bytes(&snap.log) {
+                    Ok(log) => (self.log, self.applied, self.term) = (Some(log), snap.index, snap.term),
+                    Err(_) => {
+                        self.broken = true;
+                        out.push(Out::Strange);
+                        return;
+                    }
                 }
                 self.node.mut_store().restore(snap.clone());
                 snapshot = Some(snap);
@@ -513,9 +521,15 @@
         }
         let mut seats = false;
         for e in entries {
-            (self.applied, self.term) = (e.index, e.term);
             let said = if e.get_entry_type() == EntryType::EntryNormal { &e.data } else { &e.context };
-            match postcard::from_bytes(said) {
+            let read = postcard::from_bytes(said);
+            if read.is_err() && !said.is_empty() {
+                self.broken = true;
+                out.push(Out::Strange);
+                return;
+            }
+            (self.applied, self.term) = (e.index, e.term);
+            match read {
                 Ok(Said::Begin(fields, seats)) if self.log.is_none() => {
                     self.log = Some(Log::new(fields, seats));
                 }
@@ -572,3 +586,41 @@
 fn send(messages: Vec<raft::eraftpb::Message>, first: u64, out: &mut Vec<Out>) {
     out.extend(messages.iter().map(|m| Out::Send { to: m.to, bytes: wire::bytes(m, first) }));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_entry_of_a_later_program_stops_a_seat_and_changes_nothing() {
+        let at = ([127, 0, 0, 1], 7000).into();
+        let setup = Setup {
+            me: 1,
+            incarnation: 1,
+            seats: [(1, at)].into(),
+            terms: Terms { span: 600_000, ppm: 1000 },
+            first: Fields::new(),
+            seed: 1,
+        };
+        let mut seat = Seats::new(setup, &Saved::default(), 0).expect("nothing was held");
+        let held = |seat: &mut Seats, out: &mut Vec<Out>| {
+            let mut n = 0;
+            while n < out.len() {
+                if matches!(out[n], Out::Hold { .. }) {
+                    seat.held(true, out);
+                }
+                n += 1;
+            }
+        };
+        let mut out = Vec::new();
+        seat.tick(0, &mut out);
+        held(&mut seat, &mut out);
+        let (log, applied) = (seat.log().cloned(), seat.applied());
+        assert!(log.is_some() && !out.contains(&Out::Strange));
+        seat.node.propose(Vec::new(), vec![250, 1, 2, 3]).expect("it leads");
+        seat.collect(&mut out);
+        held(&mut seat, &mut out);
+        assert!(out.contains(&Out::Strange) && seat.broken());
+        assert_eq!((seat.log().cloned(), seat.applied()), (log, applied));
+    }
+}
--- a/decide/seats/tests/seats.rs
+++ b/decide/seats/tests/seats.rs
@@ -137,7 +137,7 @@
                         seat.held(true, &mut out);
                     }
                 }
-                Out::Applied { .. } => {}
+                Out::Applied { .. } | Out::Strange => {}
             }
             at += 1;
         }
@@ -368,3 +368,39 @@
         g.events.clear();
     }
 }
+
+/// What seats of the first form that other programs may meet have held and written: recorded then, read by every later
+/// program. `RECORD=1` writes it anew, which is right only with another form.
+#[test]
+fn what_an_earlier_program_held_is_read() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/recorded/seat-0.bin");
+    let state = |s: &Seats| format!("{:?} {:?}", s.log().map(|l| l.state()), s.log().map(|l| l.seats()));
+    if std::env::var_os("RECORD").is_some() {
+        let mut g = Group::with(4, 3, 11);
+        g.run(3.0);
+        for n in 0..20 {
+            g.propose(n);
+            g.run(0.1);
+        }
+        let (root, entry) = (g.root().expect("a root"), Entry::Seat { new: 4, address: at(4), instead: 3 });
+        g.act(root, |s, _, out| {
+            s.propose(entry, out);
+        });
+        g.run(2.0);
+        let held = &g.disks[0].saved;
+        let told = state(g.all[0].as_ref().expect("it runs"));
+        let bytes = postcard::to_stdvec(&(&held.whole, &held.records, &told)).expect("plain data");
+        std::fs::create_dir_all(path.parent().expect("a folder")).expect("a folder");
+        std::fs::write(&path, bytes).expect("a file");
+    }
+    let bytes = std::fs::read(&path).expect("what was recorded");
+    let (whole, records, told): (Option<Vec<u8>>, Vec<Vec<u8>>, String) =
+        postcard::from_bytes(&bytes).expect("what was recorded");
+    let mut g = Group::with(4, 3, 12);
+    (0..3).for_each(|n| {
+        g.disks[n].saved = Saved { whole: whole.clone(), records: records.clone() };
+        g.start(n);
+    });
+    g.run(6.0);
+    assert_eq!(state(g.all[0].as_ref().expect("it runs")), told, "the same log, whoever reads it");
+}
--- a/programs/day/src/main.rs
+++ b/programs/day/src/main.rs
@@ -50,6 +50,9 @@
     /// `roll`: seconds that a stage lasts at least.
     #[arg(long, default_value_t = 20)]
     least: u64,
+    /// `roll`: an earlier build of this program, to be the old one.
+    #[arg(long)]
+    old: Option<std::path::PathBuf>,
     /// `roll`: seconds by which it has to be over.
     #[arg(long, default_value_t = 420.0)]
     longest: f64,
@@ -243,6 +246,7 @@
         rate,
         least: a.least,
         longest: a.longest,
+        old: a.old.clone(),
         plain: None,
     };
     let other = |seconds: f64| match a.no_plain {
--- a/programs/day/src/roll.rs
+++ b/programs/day/src/roll.rs
@@ -69,6 +69,8 @@
     pub rate: u64,
     /// Seconds that a stage lasts at least.
     pub least: u64,
+    /// An earlier build of this program, to be the old one; none: this one.
+    pub old: Option<PathBuf>,
     /// Seconds by which the roll has to be over.
     pub longest: f64,
     /// Nothing changes: for so many seconds.
@@ -149,8 +151,9 @@
             std::fs::write(folder.join(format!("alone-{name}.cue")), alone.join("\n"))?;
         }
         let own = std::fs::read(std::env::current_exe()?)?;
+        let old = play.old.as_ref().map_or_else(|| Ok(own.clone()), std::fs::read)?;
         let plant = serde_json::to_string(&play.plant)?.trim_matches('"').to_string();
-        for (name, bytes) in [("old", planted(&own, "")), ("new", planted(&own, &plant))] {
+        for (name, bytes) in [("old", planted(&old, "")), ("new", planted(&own, &plant))] {
             std::fs::write(folder.join(name), bytes)?;
             std::fs::set_permissions(folder.join(name), std::fs::Permissions::from_mode(0o755))?;
         }
--- a/programs/fleet/src/lib.rs
+++ b/programs/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod roll;
 pub mod show;
 pub mod up;
+mod view;
 
 use clap::{Parser, Subcommand};
 use client::Client;
--- a/programs/fleet/src/roll.rs
+++ b/programs/fleet/src/roll.rs
@@ -4,8 +4,10 @@
 use crate::up::look_at;
 use crate::{seat, show, Arguments, Client, Not};
 use clap::Subcommand;
+use ratatui::crossterm::event;
 use serde::Deserialize;
 use std::collections::{BTreeMap, VecDeque};
+use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -184,18 +186,23 @@
             crate::say(a, &format!("roll {id} has begun; `tansy-fleet roll status --watch` shows it"));
             Ok(())
         }
-        Asked::Status { watch } => loop {
+        Asked::Status { watch: false } => {
             let roll = last(a, client)?;
             show(a, &roll, || plain(&roll));
-            if !watch || roll.over() {
-                return if roll.phase == Phase::Stopped && *watch {
-                    Err(Not::Kept(roll.why))
-                } else {
-                    Ok(())
-                };
+            Ok(())
+        }
+        Asked::Status { watch: true } => {
+            let terminal = !a.json && std::io::stdout().is_terminal();
+            let roll = if terminal { in_terminal(a, client)? } else { in_lines(a, client)? };
+            if terminal {
+                show(a, &roll, || plain(&roll));
             }
-            client.wait(WATCH);
-        },
+            if roll.phase == Phase::Stopped {
+                Err(Not::Kept(roll.why))
+            } else {
+                Ok(())
+            }
+        }
         Asked::Pause { why } => step(a, client, |id| Entry::Pause { id, why: why.clone() }, "is paused"),
         Asked::Resume => step(a, client, |id| Entry::Resume { id }, "goes on"),
         Asked::Abort { why } => step(a, client, |id| Entry::Abort { id, why: why.clone() }, "goes back"),
@@ -209,6 +216,45 @@
     }
 }
 
+/// Prints a roll again and again until it is over.
+fn in_lines(a: &Arguments, client: &mut Client) -> Result<Roll, Not> {
+    loop {
+        let roll = last(a, client)?;
+        show(a, &roll, || plain(&roll));
+        if roll.over() {
+            return Ok(roll);
+        }
+        client.wait(WATCH);
+    }
+}
+
+/// Draws it until it is over, or `q` or Ctrl-C is pressed.
+fn in_terminal(a: &Arguments, client: &mut Client) -> Result<Roll, Not> {
+    let mut roll = last(a, client)?;
+    let drawn = ratatui::run(|terminal| -> std::io::Result<()> {
+        while !roll.over() {
+            terminal.draw(|frame| crate::view::draw(frame, &roll))?;
+            if event::poll(WATCH)? {
+                if let event::Event::Key(key) = event::read()? {
+                    let control = key.modifiers.contains(event::KeyModifiers::CONTROL);
+                    if key.code == event::KeyCode::Char('q')
+                        || control && key.code == event::KeyCode::Char('c')
+                    {
+                        return Ok(());
+                    }
+                }
+            }
+            // The seat that leads may be away for a moment.
+            if let Ok(now) = last(a, client) {
+                roll = now;
+            }
+        }
+        Ok(())
+    });
+    drawn.map_err(|e| Not::Reached(format!("the terminal: {e}")))?;
+    Ok(roll)
+}
+
 /// All front ends that are there.
 fn places(a: &Arguments, client: &mut Client) -> Result<Vec<Place>, Not> {
     let s = client.status(a.at)?;
--- a/protocol/fleet/tests/letters.rs
+++ b/protocol/fleet/tests/letters.rs
@@ -69,6 +69,22 @@
     }
 }
 
+/// Letters as a program of each form has written them. `RECORD=1` writes those of this one anew, which is right only with
+/// another form.
+#[test]
+fn letters_that_an_earlier_program_wrote_are_read() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/recorded/form-{FORM}"));
+    for (n, body) in bodies().into_iter().enumerate() {
+        let path = folder.join(format!("{n:02}.bin"));
+        if std::env::var_os("RECORD").is_some() {
+            std::fs::create_dir_all(&folder).expect("a folder");
+            std::fs::write(&path, letter(77, &sender(), ROOT, body.clone())).expect("a file");
+        }
+        let bytes = std::fs::read(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        assert_eq!(read(77, &bytes), Ok((sender(), ROOT, body)), "{}", path.display());
+    }
+}
+
 #[test]
 fn letters_of_another_fleet_or_program_are_turned_away_with_the_reason() {
     use prost::Message as _;
