--- a/programs/fleet/src/lib.rs
+++ b/programs/fleet/src/lib.rs
@@ -191,7 +191,12 @@
     if let What::Up { fleet, log } = &a.what {
         let filter = tracing_subscriber::EnvFilter::try_new(log);
         let filter = filter.map_err(|e| Not::Right(format!("--log {log:?}: {e}")))?;
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+        let color = std::io::IsTerminal::is_terminal(&std::io::stderr());
+        tracing_subscriber::fmt()
+            .with_env_filter(filter)
+            .with_writer(std::io::stderr)
+            .with_ansi(color)
+            .init();
         return up::run(fleet).map_err(Not::Right);
     }
     let mut client = Client::new().map_err(|e| Not::Reached(e.to_string()))?;
