A roll that is refused leaves the log as it was, whatever roll was before it

Seen on reading: judge_roll in decide/agree/src/log.rs looked at the plan in two of its arms only; a roll of settings with a wrong plan after an ended one passed it, and apply had set what is tried before it was refused. Change: one check of the plan for every beginning, before the rest. The new test fails on the code before and passes now.

--- a/decide/agree/src/log.rs
+++ b/decide/agree/src/log.rs
@@ -449,22 +449,23 @@
 
     fn judge_roll(&self, entry: &tansy_rollout::Entry, fields: Option<&Fields>) -> Option<Refused> {
         use tansy_rollout::{Entry as Step, Refused as No};
-        let going = self.roll.as_ref();
-        let settings = matches!(entry, Step::Begin { what: What::Settings, .. });
-        match (entry, going) {
-            (Step::Begin { id, .. }, Some(r)) if r.id == *id => Some(Refused::Roll(No::Same)),
-            (Step::Begin { plan, .. }, None) if plan.wrong().is_some() => {
-                Some(Refused::Roll(No::Plan(plan.wrong().unwrap_or_default())))
-            }
-            (Step::Begin { .. }, Some(r)) if !r.over() => Some(Refused::Roll(No::Busy)),
-            (Step::Begin { .. }, _) if settings => match (&self.state.next, fields) {
-                (Some((next, _)), _) => Some(Refused::Busy { with: next.version }),
-                (None, Some(f)) if *f != self.state.force.fields => None,
-                (None, _) => Some(Refused::Same),
-            },
-            (Step::Begin { .. }, None) => None,
-            (_, None) => Some(Refused::Roll(No::Over)),
-            (entry, Some(r)) => r.judge(entry).err().map(Refused::Roll),
+        let Step::Begin { id, what, plan, .. } = entry else {
+            let judged = self.roll.as_ref().map_or(Err(No::Over), |r| r.judge(entry));
+            return judged.err().map(Refused::Roll);
+        };
+        match &self.roll {
+            Some(r) if r.id == *id => return Some(Refused::Roll(No::Same)),
+            Some(r) if !r.over() => return Some(Refused::Roll(No::Busy)),
+            _ => {}
+        }
+        if let Some(wrong) = plan.wrong() {
+            return Some(Refused::Roll(No::Plan(wrong)));
+        }
+        match (&self.state.next, fields) {
+            _ if *what != What::Settings => None,
+            (Some((next, _)), _) => Some(Refused::Busy { with: next.version }),
+            (None, Some(f)) if *f != self.state.force.fields => None,
+            (None, _) => Some(Refused::Same),
         }
     }
 
--- a/decide/agree/tests/rules.rs
+++ b/decide/agree/tests/rules.rs
@@ -164,3 +164,26 @@
         .expect("the next");
     assert_eq!(log.state().latest(), Version(3), "numbers are not used twice");
 }
+
+#[test]
+fn a_roll_that_is_refused_leaves_the_log_as_it_was() {
+    use tansy_rollout::{Entry as Step, Place, Plan, What};
+    let one = |n| Fields::from([("worker.max_attempts".to_string(), Value::Int(n))]);
+    let mut log = Log::new(one(4), []);
+    let place = Place { name: "f0".into(), zone: "a".into(), seat: false };
+    let right = Plan { stages: vec![vec![place]], ..Plan::default() };
+    let begin = |id, plan: &Plan| {
+        let entry = Step::Begin { id, what: What::Settings, plan: plan.clone(), why: String::new() };
+        Entry::Roll { entry: Box::new(entry), fields: Some(one(3)) }
+    };
+    let abort = Entry::Roll { entry: Box::new(Step::Abort { id: 1, why: String::new() }), fields: None };
+    for entry in [begin(1, &right), abort] {
+        log.apply(entry).expect("it may");
+    }
+    let before = log.clone();
+    // Wrong though another roll has been; the same one again.
+    for entry in [begin(2, &Plan::default()), begin(1, &right)] {
+        assert!(matches!(log.apply(entry), Err(tansy_agree::log::Refused::Roll(_))));
+        assert_eq!(log, before);
+    }
+}
