One look-up for an answer, one scan of kept processes, one request a client method

Need: read once more, the change had these twice. Behaviour as before; tests of agree, peer, seats, front, rollout and fleet pass (78 in all).

--- a/decide/front/src/ledger/calls.rs
+++ b/decide/front/src/ledger/calls.rs
@@ -221,9 +221,7 @@
             Answer::Passed | Answer::Failed(_) | Answer::Unknown => self.account.failed += 1,
         }
         let (class, arrived) = (c.class, c.arrived);
-        self.counted(class, Some(answer), arrived);
         out.push(Command::Answer { call: id, answer });
-        let Some(c) = self.calls.get_mut(&id) else { return };
         if answer == Answer::Served {
             // Its trailers may lag, but not for ever.
             if let Some(a) = c.attempt.as_mut() {
@@ -236,6 +234,7 @@
         } else {
             self.withdraw(id, Outcome::TimedOut, out);
         }
+        self.counted(class, Some(answer), arrived);
         self.settle(id);
     }
 
--- a/decide/peer/src/lib.rs
+++ b/decide/peer/src/lib.rs
@@ -242,7 +242,7 @@
                     first: held.first,
                     seed: setup.seed,
                 };
-                Some(Keeper::new(me.id, Seats::new(seats, &held.saved, now)?, setup.stay, now))
+                Some(Keeper::new(Seats::new(seats, &held.saved, now)?, setup.stay, now))
             }
             None => None,
         };
--- a/decide/peer/src/seat.rs
+++ b/decide/peer/src/seat.rs
@@ -80,12 +80,11 @@
     broken: Option<String>,
     joint_since: Option<(Step, Time)>,
     learns_since: Option<(u64, Time)>,
-    me: u64,
     next_look: Time,
 }
 
 impl Keeper {
-    pub(crate) fn new(me: u64, seats: Seats, terms: Terms, now: Time) -> Keeper {
+    pub(crate) fn new(seats: Seats, terms: Terms, now: Time) -> Keeper {
         Keeper {
             seats,
             terms,
@@ -95,7 +94,6 @@
             broken: None,
             joint_since: None,
             learns_since: None,
-            me,
             next_look: now,
         }
     }
@@ -293,7 +291,7 @@
                     self.push(Entry::Unseat { new: s.new });
                 }
             }
-            Hand::Both if s.instead == self.me => {
+            Hand::Both if s.instead == self.seats.me() => {
                 let mut all = Vec::new();
                 self.seats.hand_over(s.new, &mut all);
                 self.take(now, all, out);
--- a/decide/seats/src/lib.rs
+++ b/decide/seats/src/lib.rs
@@ -257,6 +257,11 @@
         Ok(seats)
     }
 
+    /// Its own number.
+    pub fn me(&self) -> u64 {
+        self.setup.me
+    }
+
     fn conf(&self) -> &Conf {
         &self.node.store().latest.conf
     }
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -90,10 +90,17 @@
     plot: Option<std::path::PathBuf>,
 }
 
+/// So many threads; 0: as many as there are cores.
+fn threads_or_all(threads: usize) -> usize {
+    if threads > 0 {
+        return threads;
+    }
+    std::thread::available_parallelism().map_or(1, |n| n.get())
+}
+
 fn roll(a: RollArguments) -> ExitCode {
     use tansy_model::roll::{many, Harm, Play, Rule};
-    let threads =
-        if a.threads > 0 { a.threads } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
+    let threads = threads_or_all(a.threads);
     let harms: Vec<Harm> = match a.null {
         true => vec![Harm::None],
         false => vec![
@@ -188,8 +195,7 @@
     else {
         return ExitCode::SUCCESS;
     };
-    let threads =
-        if threads > 0 { threads } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
+    let threads = threads_or_all(threads);
     let (mut broken, mut played) = (false, Vec::new());
     for fronts in front_ends {
         let seats = seats.clamp(1, fronts.max(2));
--- a/programs/day/src/plant.rs
+++ b/programs/day/src/plant.rs
@@ -48,7 +48,11 @@
         "late" => {
             through(&mut arguments, Arc::new(move || Some(LATE_BY).filter(|_| began.elapsed() >= LATE_FROM)))
         }
-        "refuse" => through(&mut arguments, Arc::new(|| None)),
+        "refuse" => {
+            // Workers that can't be reached for a second out of three.
+            REFUSES.get_or_init(|| began);
+            through(&mut arguments, Arc::new(|| None));
+        }
         "crash" => drop(std::thread::spawn(|| {
             std::thread::sleep(LIVES);
             std::process::abort();
@@ -62,11 +66,6 @@
         })),
         _ => {}
     }
-    let refuse = plant == "refuse";
-    if refuse {
-        // Workers that can't be reached for a second out of three.
-        REFUSES.get_or_init(|| began);
-    }
     tansy_gateway::cli::main(arguments)
 }
 
--- a/programs/day/src/roll.rs
+++ b/programs/day/src/roll.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 use tansy_audit::{judge, Link, Mark};
 use tansy_fleet::client::Client;
-use tansy_fleet::processes::label;
+use tansy_fleet::processes::{kept, label};
 use tansy_fleet::roll::stages;
 use tansy_fleet_wire::pb::enter_request::Entry as Enter;
 use tansy_fleet_wire::{of_roll, roll_entry};
@@ -297,19 +297,8 @@
 
     /// Processes of front ends: by name, number and program, as the kernel has them.
     fn processes(&self) -> Vec<(String, u32, String)> {
-        let mut all = Vec::new();
-        let folder = self.folder.display().to_string();
-        for entry in std::fs::read_dir("/proc").into_iter().flatten().flatten() {
-            let Some(pid) = entry.file_name().to_str().and_then(|n| n.parse::<u32>().ok()) else { continue };
-            let surroundings = std::fs::read(entry.path().join("environ")).unwrap_or_default();
-            let text = String::from_utf8_lossy(&surroundings).into_owned();
-            let kept = text.split('\0').find_map(|v| v.strip_prefix("TANSY_KEPT="));
-            let Some(kept) = kept.filter(|k| k.starts_with(&folder)) else { continue };
-            let Ok(program) = std::fs::read_link(entry.path().join("exe")) else { continue };
-            let name = kept.rsplit(':').next().unwrap_or("").to_string();
-            all.push((name, pid, program.file_name().unwrap_or_default().to_string_lossy().into_owned()));
-        }
-        all
+        let all = kept().into_iter().filter(|k| k.folder.starts_with(&self.folder));
+        all.map(|k| (k.name, k.pid, k.program)).collect()
     }
 }
 
--- a/programs/fleet/src/client.rs
+++ b/programs/fleet/src/client.rs
@@ -94,7 +94,7 @@
 
     /// The status of one.
     pub fn status(&mut self, to: SocketAddr) -> Result<pb::StatusReply, Failed> {
-        self.one(to, "Status", &pb::StatusRequest { fleet: 0 }.encode_to_vec(), WITHIN)
+        self.status_within(to, WITHIN)
     }
 
     /// The versions that a seat remembers.
@@ -108,8 +108,7 @@
         seat: SocketAddr,
         entry: pb::enter_request::Entry,
     ) -> Result<pb::EnterReply, Failed> {
-        let request = pb::EnterRequest { fleet: 0, entry: Some(entry) };
-        self.one(seat, "Enter", &request.encode_to_vec(), ENTRY_WITHIN)
+        self.enter_within(seat, entry, ENTRY_WITHIN)
     }
 
     /// The status of one, within this time.
--- a/programs/fleet/src/processes.rs
+++ b/programs/fleet/src/processes.rs
@@ -39,6 +39,40 @@
     began: u64,
 }
 
+/// A process that some supervisor keeps, or kept, as the kernel has it.
+#[derive(Debug)]
+pub struct Running {
+    /// Its number.
+    pub pid: Pid,
+    /// Its supervisor's folder.
+    pub folder: PathBuf,
+    /// Its front end's name.
+    pub name: String,
+    /// The program that it was told to be.
+    pub label: String,
+    /// The name of the file that it runs.
+    pub program: String,
+}
+
+/// All of them, by what their surroundings say; those that have ended are none.
+pub fn kept() -> Vec<Running> {
+    let one = |entry: std::fs::DirEntry| {
+        let pid = entry.file_name().to_str()?.parse().ok()?;
+        let surroundings = std::fs::read(entry.path().join("environ")).ok()?;
+        let value = |name: &str| {
+            let mut each = surroundings.split(|b| *b == 0).map(String::from_utf8_lossy);
+            each.find_map(|v| v.strip_prefix(name)?.strip_prefix('=').map(str::to_string))
+        };
+        let kept = value(KEPT)?;
+        let (folder, name) = kept.rsplit_once(':')?;
+        let program = std::fs::read_link(entry.path().join("exe")).ok()?;
+        let program = program.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let (folder, name) = (PathBuf::from(folder), name.to_string());
+        Some(Running { pid, folder, name, label: value(LABEL).unwrap_or_default(), program })
+    };
+    std::fs::read_dir("/proc").into_iter().flatten().flatten().filter_map(one).collect()
+}
+
 /// The processes under one folder.
 #[derive(Debug)]
 pub struct Processes {
@@ -79,21 +113,11 @@
 
     /// Processes whose surroundings say that they belong here.
     fn find(&mut self) -> Vec<Found> {
-        let prefix = self.kept("");
         let mut all = Vec::new();
-        for entry in std::fs::read_dir("/proc").into_iter().flatten().flatten() {
-            let Some(pid) = entry.file_name().to_str().and_then(|n| n.parse::<Pid>().ok()) else { continue };
-            let Ok(surroundings) = std::fs::read(entry.path().join("environ")) else { continue };
-            let value = |name: &str| {
-                let mut each = surroundings.split(|b| *b == 0).map(String::from_utf8_lossy);
-                each.find_map(|v| v.strip_prefix(&format!("{name}=")).map(str::to_string))
-            };
-            let Some(name) = value(KEPT).and_then(|k| k.strip_prefix(&prefix).map(str::to_string)) else {
-                continue;
-            };
-            let Some(began) = began(pid) else { continue };
-            self.all.insert(pid, Kept { child: None, began });
-            all.push(Found { pid, name, label: value(LABEL).unwrap_or_default() });
+        for k in kept().into_iter().filter(|k| k.folder == self.folder) {
+            let Some(began) = began(k.pid) else { continue };
+            self.all.insert(k.pid, Kept { child: None, began });
+            all.push(Found { pid: k.pid, name: k.name, label: k.label });
         }
         all
     }
--- a/programs/fleet/tests/roll.rs
+++ b/programs/fleet/tests/roll.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
+use tansy_fleet::processes::kept;
 
 const TEXT: &str = r#"
 zones: ["a", "b", "c"]
@@ -108,21 +109,8 @@
 
     /// Processes of the rig's front ends: number, name, program; as the kernel has them.
     fn processes(&self) -> Vec<(u32, String, String)> {
-        let mut all = Vec::new();
-        for entry in std::fs::read_dir("/proc").into_iter().flatten().flatten() {
-            let Some(pid) = entry.file_name().to_str().and_then(|n| n.parse::<u32>().ok()) else { continue };
-            let surroundings = std::fs::read(entry.path().join("environ")).unwrap_or_default();
-            let kept = surroundings.split(|b| *b == 0).map(String::from_utf8_lossy);
-            let kept: Vec<String> =
-                kept.filter_map(|v| v.strip_prefix("TANSY_KEPT=").map(str::to_string)).collect();
-            let Some(kept) = kept.first().filter(|k| k.starts_with(&*self.folder.to_string_lossy())) else {
-                continue;
-            };
-            let Ok(program) = std::fs::read_link(entry.path().join("exe")) else { continue };
-            let name = kept.rsplit(':').next().unwrap_or("").to_string();
-            all.push((pid, name, program.file_name().unwrap_or_default().to_string_lossy().into_owned()));
-        }
-        all
+        let all = kept().into_iter().filter(|k| k.folder.starts_with(&self.folder));
+        all.map(|k| (k.pid, k.name, k.program)).collect()
     }
 
     /// By name: the programs of its processes.
