The ledger says whether an attempt may leave at the moment its bytes do

Need: between the choice of an attempt and the write that sends it its client, its worker or the time in which repeats are dropped may have ended; a connection that comes up late makes that a second. Front::may_leave answers without changing anything: call owed and in time, worker ready, attempt not yet out, and for keyed classes the window counted from the choice of the first attempt that may have run (OpenCall::ran_from). Sockets gain read_now (what the kernel holds, whatever the loop has told), no_room (EMFILE and kin) and descriptors (RLIMIT_NOFILE).

Tests: decide/front/tests/leaving.rs, four, on each condition of may_leave.

--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -21,8 +21,8 @@
 use tansy_wheel::{Handle, Wheel};
 use tansyrouter as module;
 use tansyrouter::{
-    Action, Event, FunctionId, ListKind, Outcome, RequestId, Router, Span, Time, WorkerId, WorkerState,
-    SECOND,
+    Action, Effect, Event, FunctionId, ListKind, Outcome, RequestId, Router, Span, Time, WorkerId,
+    WorkerState, SECOND,
 };
 
 /// Ticks of the timers, microseconds.
@@ -73,6 +73,8 @@
     attempt: Option<Attempt>,
     answered: bool,
     last_end: Option<Outcome>,
+    /// When the first of its attempts that may have run was chosen.
+    ran_from: Option<Time>,
     timer: Option<Handle>,
 }
 
--- a/decide/front/src/ledger/calls.rs
+++ b/decide/front/src/ledger/calls.rs
@@ -72,6 +72,7 @@
             attempt: None,
             answered: false,
             last_end: None,
+            ran_from: None,
             timer,
         };
         self.calls.insert(id, open);
@@ -113,6 +114,19 @@
         out.push(Command::Open { call: id, attempt: number, worker: name, budget });
     }
 
+    /// Whether an attempt may leave at this moment, which can be long after it was chosen: its call is owed an answer,
+    /// its worker takes work, and where repeats are dropped for a while, that while is not over.
+    pub fn may_leave(&self, now: Time, id: CallId, attempt: u32) -> bool {
+        let Some(c) = self.calls.get(&id).filter(|c| !c.answered && now < c.deadline) else { return false };
+        let Some(a) = c.attempt.as_ref().filter(|a| a.number == attempt) else { return false };
+        let waits = matches!(a.phase, Phase::Opening | Phase::Confirming);
+        let remembered = match self.config.settings.classes[c.class].effect {
+            Effect::Keyed { window, .. } => c.ran_from.is_none_or(|first| now.since(first) < window),
+            Effect::Safe | Effect::Unsafe => true,
+        };
+        waits && remembered && self.states.get(&a.worker) == Some(&WorkerState::Ready)
+    }
+
     pub(super) fn on_opened(&mut self, id: CallId, attempt: u32) {
         let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
         if a.number == attempt && matches!(a.phase, Phase::Opening | Phase::Confirming) {
@@ -163,6 +177,9 @@
             _ => verdict.outcome,
         };
         c.last_end = Some(outcome);
+        if !outcome.never_ran() {
+            c.ran_from.get_or_insert(a.sent);
+        }
         let (function, answered, began) = (c.function, c.answered, a.began);
         self.used(function);
         self.account.ends[place(outcome)] += 1;
--- /dev/null
+++ b/decide/front/tests/leaving.rs
@@ -0,0 +1,150 @@
+//! Whether an attempt may leave, asked when it is about to: between its choice and that moment its call, its worker or the
+//! time in which repeats are dropped may have ended.
+
+use tansy_front::{
+    Answer, Call, CallId, Command, Config, Front, FunctionSpec, Input, Listed, OrderId, Seen, Stage, Told,
+};
+use tansyrouter::{Class, Effect, Group, Settings, Span, Time, SECOND};
+
+const WINDOW: Span = SECOND;
+const CALL: CallId = CallId(1);
+
+fn front(effect: Effect) -> Front {
+    let class = Class {
+        aim: SECOND,
+        aim_stretch: 0.0,
+        deadline: 5 * SECOND,
+        effect,
+        worth: 1.0,
+        late_worth: 0.5,
+        streamed: false,
+    };
+    let function = FunctionSpec {
+        name: "f".into(),
+        class: 0,
+        lanes: 2,
+        memory_mb: 100.0,
+        load_time: None,
+        versions: vec![],
+    };
+    let config = Config {
+        settings: Settings { classes: vec![class], connect_timeout: SECOND / 10, ..Settings::default() },
+        classes: vec!["c".into()],
+        tenants: vec![],
+        zones: vec!["z".into()],
+        functions: vec![function],
+        longest: 60 * SECOND,
+        seed: 7,
+    };
+    let mut front = Front::new(config, Time(0)).expect("settings");
+    step(&mut front, 0, workers(0));
+    front
+}
+
+fn workers(state: u8) -> Input {
+    let listed = Listed { name: "w".into(), kind: 0, cell: 0, zone: 0, state, age: None, share: 1.0 };
+    Input::Workers { whole: true, list: vec![listed] }
+}
+
+fn step(front: &mut Front, at: Span, input: Input) -> Vec<Command> {
+    let mut out = Vec::new();
+    front.step(Time(at), input, &mut out);
+    out
+}
+
+/// Takes the call and has its load done; the number of its attempt.
+fn called(front: &mut Front) -> u32 {
+    let call = Call {
+        call: CALL,
+        function: "f".into(),
+        class: None,
+        tenant: 0,
+        budget: None,
+        hint: None,
+        repeat: false,
+        shape: None,
+        unlisted: false,
+    };
+    let mut out = step(front, 0, Input::Call(call));
+    if let Some(Command::Load { order, .. }) = out.first() {
+        out = loaded(front, *order);
+    }
+    opened(&out).expect("an attempt")
+}
+
+fn loaded(front: &mut Front, order: OrderId) -> Vec<Command> {
+    let told = Told { instances: Some(1), ..Told::default() };
+    step(front, 1, Input::OrderEnded { order, seen: Seen::Status { code: 0, stage: Stage::Last }, told })
+}
+
+fn opened(commands: &[Command]) -> Option<u32> {
+    commands.iter().find_map(|c| match c {
+        Command::Open { attempt, .. } => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn may(front: &Front, at: Span, attempt: u32) -> bool {
+    front.may_leave(Time(at), CALL, attempt)
+}
+
+#[test]
+fn one_just_chosen_may_and_what_ends_it_forbids_it() {
+    let ends: [(&str, Input); 4] = [
+        ("its client", Input::ClientLeft { call: CALL }),
+        ("its worker drains", workers(1)),
+        ("its worker is gone", workers(2)),
+        ("it", Input::Ended { call: CALL, attempt: 0, seen: Seen::NeverLeft, told: Told::default() }),
+    ];
+    for (name, end) in ends {
+        let mut front = front(Effect::Safe);
+        let attempt = called(&mut front);
+        assert!(may(&front, 10, attempt));
+        assert!(!may(&front, 10, attempt + 1), "no such attempt");
+        assert!(!front.may_leave(Time(10), CallId(2), attempt), "no such call");
+        step(&mut front, 20, end);
+        assert!(!may(&front, 30, attempt), "{name} has ended");
+    }
+}
+
+#[test]
+fn one_whose_calls_time_is_up_may_not() {
+    let mut front = front(Effect::Safe);
+    let attempt = called(&mut front);
+    assert!(may(&front, 4 * SECOND, attempt));
+    assert!(!may(&front, 5 * SECOND, attempt));
+}
+
+#[test]
+fn a_repeat_may_leave_only_while_repeats_are_dropped() {
+    let keyed = Effect::Keyed { group: Group::All, window: WINDOW };
+    for (effect, ran) in [(keyed, true), (keyed, false), (Effect::Safe, true)] {
+        let mut front = front(effect);
+        let first = called(&mut front);
+        // An error may have run; a refused connect never did.
+        let seen = if ran { Seen::Status { code: 2, stage: Stage::Headers } } else { Seen::NeverLeft };
+        let mut out = step(
+            &mut front,
+            SECOND / 10,
+            Input::Ended { call: CALL, attempt: first, seen, told: Told::default() },
+        );
+        let mut at = SECOND / 10;
+        while opened(&out).is_none() && at < WINDOW / 2 {
+            at += SECOND / 100;
+            out = step(&mut front, at, Input::Tick);
+        }
+        let second = opened(&out).expect("a further attempt");
+        assert!(may(&front, WINDOW - 10, second));
+        // The first was chosen a microsecond after the call came.
+        assert_eq!(may(&front, WINDOW + 1, second), !(ran && effect == keyed), "{effect:?}, ran: {ran}");
+    }
+}
+
+#[test]
+fn the_answer_ends_it() {
+    let mut front = front(Effect::Safe);
+    let attempt = called(&mut front);
+    let out = step(&mut front, 10, Input::Piece { call: CALL, attempt, last: true });
+    assert!(out.contains(&Command::Answer { call: CALL, answer: Answer::Served }));
+    assert!(!may(&front, 20, attempt));
+}
--- a/net/sockets/src/socket.rs
+++ b/net/sockets/src/socket.rs
@@ -42,6 +42,20 @@
         self.wait(cx);
         Poll::Pending
     }
+    /// Runs a system call whatever was told so far; "would block" is an error.
+    fn now<T>(&self, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+        loop {
+            match call() {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    // What comes after this is told anew.
+                    self.ready.set(self.ready.get() && e.kind() != io::ErrorKind::WouldBlock);
+                    return Err(e);
+                }
+                done => return done,
+            }
+        }
+    }
 }
 
 #[derive(Default)]
@@ -50,6 +64,12 @@
     write: Side,
 }
 
+/// Descriptors that this process may hold.
+pub fn descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |n| usize::try_from(n).unwrap_or(usize::MAX))
+}
+
 /// A TCP socket on the loop. It is closed when this is dropped.
 pub struct Socket {
     socket: Rc<TcpStream>,
@@ -96,6 +116,11 @@
     pub fn poll_read(&self, cx: &Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         self.sides.read.poll(cx, || (&*self.socket).read(buf))
     }
+    /// Reads what the kernel holds at this moment, which the loop may not have told of yet; an error of the kind
+    /// `WouldBlock`: nothing.
+    pub fn read_now(&self, buf: &mut [u8]) -> io::Result<usize> {
+        self.sides.read.now(|| (&*self.socket).read(buf))
+    }
     /// Writes what the kernel takes.
     pub fn poll_write(&self, cx: &Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.sides.write.poll(cx, || (&*self.socket).write(buf))
@@ -111,6 +136,13 @@
 
 /// EINPROGRESS, which the standard library has no kind for.
 const IN_PROGRESS: i32 = 115;
+/// ENFILE, EMFILE, ENOMEM, ENOBUFS, EADDRNOTAVAIL: this machine has no room for a socket, whoever is at the other end.
+const NO_ROOM: [i32; 5] = [23, 24, 12, 105, 99];
+
+/// Whether an error says that this process or its machine has no room for another socket.
+pub fn no_room(e: &io::Error) -> bool {
+    e.raw_os_error().is_some_and(|code| NO_ROOM.contains(&code))
+}
 
 impl Socket {
     /// A socket that connects, or has failed to begin: [`Socket::poll_connected`] tells.
