Crossings at clients, watch, signals and descriptors mended, each forced by a test

Now hold_back asks the ledger and the client's socket first, and hears what the kernel holds of the list before anything leaves. - clients.rs, close: the listener went with what its backlog held: 60 of 60 requests lost. Signals are taken first, the window reloads, a reading that fails is tried again for two seconds. - link.rs, run: EMFILE on connect counted as the worker's refusal, and it was suspected. It says nothing of the worker. - link.rs, pick: after an attempt is given up, another call of the same id could go on the same connection and get its late answer. Also: a request not whole for 250 ms may be shed for a new client; the bound on descriptors is the lower of the stated one and the process's own.

Checked by taking out: hear_list, given_up, no_room and the look at the client each fail their tests.

--- a/net/platform/src/clients.rs
+++ b/net/platform/src/clients.rs
@@ -11,7 +11,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tansy_http1::{Limits, Message, Reader};
 use tansy_net_sockets::{socket::Socket, within};
 use tansy_platform::call::{Asked, BadCall};
@@ -35,26 +35,71 @@
 const ACCEPTS: usize = 16;
 /// With no descriptor left, the listener rests so long.
 const REST: Duration = Duration::from_millis(20);
+/// A request that is not whole may be shed for a new connection so long after its first byte: one that comes in two
+/// pieces is whole by then.
+const HALF_FOR: Duration = Duration::from_millis(250);
 
-/// A call's final answer on its way to its client's task.
-#[derive(Default)]
+/// What came from a client while its call is open.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Nothing,
+    More,
+    Gone,
+}
+
+/// Status, advice to stay away (microseconds; 0: none) and body.
+type Final = (u16, Span, Vec<u8>);
+
+/// A call's final answer on its way to its client's task, and whether that client is still there for it.
 pub struct Slot {
-    answer: RefCell<Option<(u16, Span, Vec<u8>)>>,
+    answer: RefCell<Option<Final>>,
     waker: RefCell<Option<Waker>>,
+    socket: Rc<Socket>,
+    heard: Cell<Heard>,
 }
 
 impl Slot {
+    fn new(socket: Rc<Socket>) -> Slot {
+        let (answer, waker) = (RefCell::default(), RefCell::default());
+        Slot { answer, waker, socket, heard: Cell::new(Heard::Nothing) }
+    }
+
+    fn hear(&self, read: io::Result<usize>) -> Heard {
+        let heard = match read {
+            Ok(n) if n > 0 => Heard::More,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Heard::Nothing,
+            _ => Heard::Gone,
+        };
+        if heard != Heard::Nothing {
+            self.heard.set(heard);
+            self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+        }
+        heard
+    }
+
+    /// Whether the client waits for its answer as far as this machine knows at this moment: its close may have come
+    /// and the loop not have told of it yet.
+    pub fn waits(&self) -> bool {
+        self.heard.get() == Heard::Nothing
+            && self.hear(self.socket.read_now(&mut [0u8; 256])) == Heard::Nothing
+    }
+
     /// Gives the answer: status, advice to stay away (microseconds; 0: none) and body.
     pub fn give(&self, status: u16, stay_away: Span, body: Vec<u8>) {
         *self.answer.borrow_mut() = Some((status, stay_away, body));
         self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
-    fn poll(&self, cx: &Context<'_>) -> Poll<(u16, Span, Vec<u8>)> {
+    /// Ready: the answer, or what came from the client instead.
+    fn poll(&self, cx: &Context<'_>) -> Poll<Result<Final, Heard>> {
         if let Some(answer) = self.answer.borrow_mut().take() {
-            return Poll::Ready(answer);
+            return Poll::Ready(Ok(answer));
+        }
+        if self.heard.get() == Heard::Nothing {
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            let read = std::task::ready!(self.socket.poll_read(cx, &mut [0u8; 256]));
+            self.hear(read);
         }
-        *self.waker.borrow_mut() = Some(cx.waker().clone());
-        Poll::Pending
+        Poll::Ready(Err(self.heard.get()))
     }
 }
 
@@ -65,6 +110,8 @@
     Silent,
     /// It has been answered and waits for its next request.
     Idle,
+    /// Its request is not whole, since then.
+    Half(Instant),
     /// Anything else.
     Busy,
 }
@@ -83,13 +130,26 @@
     shedding: Cell<usize>,
     resting: Cell<bool>,
     closed: Cell<bool>,
+    listener: RefCell<Option<Rc<TcpListener>>>,
     token: Cell<Option<RegistrationToken>>,
 }
 
+/// Where accepting stopped.
+#[derive(PartialEq, Eq)]
+enum Accepted {
+    /// All that waited.
+    All,
+    /// After a turn's share.
+    Share,
+    /// There is no room.
+    Full,
+}
+
 impl Clients {
     /// Serves a listener.
     pub fn start(hub: Rc<Hub>, listener: TcpListener) -> io::Result<Rc<Clients>> {
         listener.set_nonblocking(true)?;
+        let listener = Rc::new(listener);
         let clients = Rc::new(Clients {
             hub: hub.clone(),
             open: RefCell::new(BTreeMap::new()),
@@ -97,12 +157,17 @@
             shedding: Cell::new(0),
             resting: Cell::new(false),
             closed: Cell::new(false),
+            listener: RefCell::new(Some(listener.clone())),
             token: Cell::new(None),
         });
         let source = Generic::new(listener, Interest::READ, Mode::Level);
         let inner = clients.clone();
-        let token = hub.spawner.handle().insert_source(source, move |_, listener, ()| {
-            Ok(if inner.accept(listener) { PostAction::Continue } else { PostAction::Disable })
+        let token = hub.spawner.handle().insert_source(source, move |_, _, ()| {
+            if inner.accept(ACCEPTS) != Accepted::Full {
+                return Ok(PostAction::Continue);
+            }
+            inner.rest();
+            Ok(PostAction::Disable)
         });
         clients.token.set(Some(token.map_err(|e| io::Error::other(e.to_string()))?));
         Ok(clients)
@@ -116,55 +181,86 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
-    /// Takes no new connection, and no new request on those that wait for one.
-    pub fn close(&self) {
+    /// Takes no new connection beyond those that the machine has taken for us, and no new request on those that wait
+    /// for one. False: not all of these are accepted yet, and it is to be called again after a turn of the loop.
+    pub fn close(self: &Rc<Self>) -> bool {
         self.closed.set(true);
+        let accepted = self.accept(ACCEPTS);
+        let open: Vec<_> = self.open.borrow().values().cloned().collect();
+        let waits = |c: &&Rc<Client>| matches!(c.phase.get(), Phase::Silent | Phase::Idle) && !c.shed.get();
+        open.iter().filter(waits).for_each(|c| self.shed(c));
+        if accepted != Accepted::All {
+            return false;
+        }
         if let Some(token) = self.token.take() {
             self.hub.spawner.handle().remove(token);
         }
-        let open: Vec<_> = self.open.borrow().values().cloned().collect();
-        open.iter().filter(|c| c.phase.get() != Phase::Busy).for_each(|c| shed(c));
+        self.listener.take();
+        true
     }
 
-    /// Accepts what waits; false: the listener rests.
-    fn accept(self: &Rc<Self>, listener: &TcpListener) -> bool {
-        for _ in 0..ACCEPTS {
+    /// Accepts what waits, so many at most.
+    fn accept(self: &Rc<Self>, most: usize) -> Accepted {
+        let Some(listener) = self.listener.borrow().clone() else { return Accepted::All };
+        for _ in 0..most {
             if self.len() >= self.hub.setup.clients + self.shedding.get() && !self.make_room() {
-                return self.rest();
+                return Accepted::Full;
             }
             match listener.accept() {
                 Ok((socket, _)) => {
                     let _ = socket.set_nodelay(true);
                     let Ok(socket) = Socket::new(self.hub.spawner.handle(), socket) else {
-                        return self.rest();
+                        return Accepted::Full;
                     };
                     self.serve(socket);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 // No descriptor left: a readable listener must not turn the loop meanwhile.
                 Err(e) => {
                     tracing::warn!(error = %e, "accepting rests");
                     self.make_room();
-                    return self.rest();
+                    return Accepted::Full;
                 }
             }
         }
-        true
+        Accepted::Share
     }
 
-    /// Sheds a connection: the oldest that never sent a byte, else the oldest idle one.
+    /// Sheds a connection: the oldest that never sent a byte, else the oldest idle one, else the one whose request has
+    /// been in the making for longest, if that is long.
     fn make_room(&self) -> bool {
         let open = self.open.borrow();
         let of = |phase| open.values().find(|c| c.phase.get() == phase && !c.shed.get());
-        let Some(client) = of(Phase::Silent).or_else(|| of(Phase::Idle)) else { return false };
+        let half = || {
+            let since = |c: &&Rc<Client>| match c.phase.get() {
+                Phase::Half(since) if !c.shed.get() && since.elapsed() >= HALF_FOR => Some(since),
+                _ => None,
+            };
+            open.values().filter(|c| since(c).is_some()).min_by_key(since)
+        };
+        let client = of(Phase::Silent).or_else(|| of(Phase::Idle)).or_else(half);
+        client.map(|c| self.shed(c)).is_some()
+    }
+
+    fn shed(&self, client: &Client) {
+        client.shed.set(true);
         self.shedding.set(self.shedding.get() + 1);
-        shed(client);
-        true
+        client.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+
+    /// A connection that was to be shed holds a request: it stays, and another has to go if there are too many.
+    fn keep(&self, client: &Client) {
+        if client.shed.take() {
+            self.shedding.set(self.shedding.get().saturating_sub(1));
+            if self.len() > self.hub.setup.clients + self.shedding.get() {
+                self.make_room();
+            }
+        }
     }
 
-    fn rest(self: &Rc<Self>) -> bool {
+    fn rest(self: &Rc<Self>) {
         if !self.resting.replace(true) {
             let clients = self.clone();
             self.hub.spawner.spawn(async move {
@@ -176,7 +272,6 @@
                 }
             });
         }
-        false
     }
 
     fn serve(self: &Rc<Self>, socket: Socket) {
@@ -188,6 +283,7 @@
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
         self.hub.spawner.spawn(async move {
+            let socket = Rc::new(socket);
             Connection { clients: clients.clone(), client: client.clone(), socket }.run().await;
             if client.shed.get() {
                 clients.shedding.set(clients.shedding.get().saturating_sub(1));
@@ -197,15 +293,10 @@
     }
 }
 
-fn shed(client: &Client) {
-    client.shed.set(true);
-    client.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
-}
-
 struct Connection {
     clients: Rc<Clients>,
     client: Rc<Client>,
-    socket: Socket,
+    socket: Rc<Socket>,
 }
 
 /// What a request asks for.
@@ -239,7 +330,6 @@
                     let limit = self.hub().spawner.sleep(IDLE);
                     let first = poll_fn(|cx| self.poll_read(cx, &mut reader));
                     if matches!(within(limit, first).await, Some(true)) {
-                        self.client.phase.set(Phase::Busy);
                         let limit = self.hub().spawner.sleep(WHOLE_WITHIN);
                         within(limit, self.request(&mut reader)).await
                     } else {
@@ -247,6 +337,7 @@
                     }
                 }
             };
+            self.client.phase.set(Phase::Busy);
             let (wanted, keep) = match came {
                 Some(Came::Request { wanted, keep }) => (wanted, keep),
                 Some(Came::Gone) => return,
@@ -256,16 +347,16 @@
                     return self.turn_away(BadCall { status: 408, what: "a request not whole in time" }).await
                 }
             };
-            self.client.phase.set(Phase::Busy);
+            self.clients.keep(&self.client);
             let (status, wait, body) = match wanted {
                 Wanted::Alive => (200, 0, Vec::new()),
                 Wanted::Call(asked, body) => {
-                    let slot = Rc::new(Slot::default());
+                    let slot = Rc::new(Slot::new(self.socket.clone()));
                     let call = self.hub().call(asked, body, &slot);
-                    match poll_fn(|cx| self.poll_answer(cx, &slot, &mut reader)).await {
-                        Answered::Answer(answer) => answer,
-                        Answered::Gone => return self.hub().left(call),
-                        Answered::More => {
+                    match poll_fn(|cx| slot.poll(cx)).await {
+                        Ok(answer) => answer,
+                        Err(Heard::Nothing | Heard::Gone) => return self.hub().left(call),
+                        Err(Heard::More) => {
                             self.hub().left(call);
                             let what = "a further request before the answer to the last";
                             return self.turn_away(BadCall { status: 400, what }).await;
@@ -288,20 +379,22 @@
         }
     }
 
-    /// Reads one piece; ready: whether there was one. A connection that is shed has none.
+    /// Reads one piece; ready: whether there was one. A connection that is shed has none but what the machine holds.
     fn poll_read(&self, cx: &Context<'_>, reader: &mut Reader) -> Poll<bool> {
-        if self.client.shed.get() {
-            return Poll::Ready(false);
-        }
-        *self.client.waker.borrow_mut() = Some(cx.waker().clone());
         let mut buffer = [0u8; 8 * 1024];
-        self.socket.poll_read(cx, &mut buffer).map(|read| match read {
-            Ok(n) => {
-                reader.take(&buffer[..n]);
-                n > 0
-            }
-            Err(_) => false,
-        })
+        let read = if self.client.shed.get() {
+            self.socket.read_now(&mut buffer)
+        } else {
+            *self.client.waker.borrow_mut() = Some(cx.waker().clone());
+            std::task::ready!(self.socket.poll_read(cx, &mut buffer))
+        };
+        let n = read.unwrap_or(0);
+        if n > 0 && reader.is_empty() {
+            self.client.phase.set(Phase::Half(Instant::now()));
+            self.clients.keep(&self.client);
+        }
+        reader.take(&buffer[..n]);
+        Poll::Ready(n > 0)
     }
 
     /// Reads until a request is whole, or can't be one.
@@ -309,7 +402,6 @@
         let mut share = 0;
         poll_fn(move |cx| loop {
             if !reader.is_empty() {
-                self.client.phase.set(Phase::Busy);
                 let read = reader.message(|m| (self.wanted(&m), m.keep));
                 let came = match read {
                     Ok(Some((Ok(wanted), keep))) => {
@@ -337,6 +429,10 @@
                         let held = reader.len();
                         match std::task::ready!(self.poll_read(cx, reader)) {
                             true => share += reader.len() - held,
+                            false if self.client.shed.get() => {
+                                let what = "a request not whole when its place was needed";
+                                return Poll::Ready(Came::Bad(BadCall { status: 408, what }));
+                            }
                             false => return Poll::Ready(Came::Gone),
                         }
                         continue;
@@ -366,21 +462,6 @@
         Ok(Wanted::Call(asked, m.body.to_vec()))
     }
 
-    /// Waits for the answer, and for a client that leaves or sends more.
-    fn poll_answer(&self, cx: &Context<'_>, slot: &Slot, reader: &mut Reader) -> Poll<Answered> {
-        if let Poll::Ready(answer) = slot.poll(cx) {
-            return Poll::Ready(Answered::Answer(answer));
-        }
-        let mut buffer = [0u8; 1024];
-        self.socket.poll_read(cx, &mut buffer).map(|read| match read {
-            Ok(n) if n > 0 => {
-                reader.take(&buffer[..n]);
-                Answered::More
-            }
-            _ => Answered::Gone,
-        })
-    }
-
     async fn write(&self, mut bytes: &[u8]) -> bool {
         let written = async {
             while !bytes.is_empty() {
@@ -421,9 +502,3 @@
         within(self.hub().spawner.sleep(LINGER), drained).await;
     }
 }
-
-enum Answered {
-    Answer((u16, Span, Vec<u8>)),
-    Gone,
-    More,
-}
--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -1,7 +1,7 @@
 //! The hub: gives the ledger its inputs and carries out its commands.
 
 use crate::clients::Slot;
-use crate::link::{Carries, Conn, Job, Link};
+use crate::link::{Conn, Job, Link};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -38,11 +38,12 @@
 const RESERVED: usize = 40;
 
 impl Setup {
-    /// From the configuration; descriptors beyond those reserved go to clients and workers, two to one.
-    pub fn new(config: &tansy_platform::Config) -> Setup {
+    /// From the configuration and the descriptors that this process may have; those beyond the reserved go to clients and
+    /// workers, two to one.
+    pub fn new(config: &tansy_platform::Config, descriptors: usize) -> Setup {
         let conf = &config.settings;
         let span = |s: f64, least: f64| Duration::from_secs_f64(s.clamp(least, 3600.0));
-        let free = config.limits.sockets.saturating_sub(RESERVED).max(16);
+        let free = config.limits.sockets.min(descriptors).saturating_sub(RESERVED).max(16);
         Setup {
             shapes: Shapes::new(conf),
             crowd: conf.specifics.tells_crowd,
@@ -95,6 +96,9 @@
     /// Connections to workers that were ever begun.
     serials: Cell<u64>,
     epoch: Instant,
+    /// The list's watch, to be heard before anything leaves; and whether it was in this turn of the loop.
+    watch: RefCell<Option<Rc<dyn Fn()>>>,
+    heard: Cell<bool>,
     state: RefCell<State>,
 }
 
@@ -118,7 +122,29 @@
             links: HashMap::new(),
             addresses: HashMap::new(),
         });
-        Rc::new(Hub { spawner, setup, worker_connections: Cell::new(0), serials: Cell::new(0), epoch, state })
+        Rc::new(Hub {
+            spawner,
+            setup,
+            worker_connections: Cell::new(0),
+            serials: Cell::new(0),
+            epoch,
+            watch: RefCell::new(None),
+            heard: Cell::new(false),
+            state,
+        })
+    }
+
+    /// What takes up the events of the list that this machine holds.
+    pub fn watch(&self, hear: Rc<dyn Fn()>) {
+        *self.watch.borrow_mut() = Some(hear);
+    }
+    /// The list's events that have come are taken before what the loop does next, once a turn: after a stall of ours a
+    /// send may be ready before the drain that forbids it is read.
+    pub fn hear_list(&self) {
+        let watch = self.watch.borrow().clone();
+        if let Some(hear) = watch.filter(|_| !self.heard.replace(true)) {
+            hear();
+        }
     }
 
     /// A number for a connection to a worker; never given twice.
@@ -130,14 +156,15 @@
     pub fn now(&self) -> Time {
         Time(i64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(i64::MAX))
     }
-    /// How long the loop may sleep before it has to call [`Hub::tick`].
+    /// How long the loop may sleep; [`Hub::tick`] is called after each turn of it.
     pub fn sleep(&self) -> Option<Duration> {
         let due = self.state.borrow().front.next_due()?;
         // A little past it, so that the wheel's tick has begun.
         Some(Duration::from_micros(due.since(self.now()).max(0) as u64 + 50))
     }
-    /// Lets the ledger's timers run if one is due.
+    /// A turn of the loop has ended: the ledger's timers run if one is due.
     pub fn tick(self: &Rc<Self>) {
+        self.heard.set(false);
         let due = self.state.borrow().front.next_due();
         if due.is_some_and(|t| t <= self.now()) {
             self.feed(Input::Tick);
@@ -259,7 +286,7 @@
                 let io = self.state.borrow().calls.get(&call).cloned();
                 let conn = io
                     .as_ref()
-                    .and_then(|io| self.link(&worker)?.pick(self, Carries::Calls, &io.used.borrow()));
+                    .and_then(|io| self.link(&worker)?.pick_for(self, &io.asked.id, &io.used.borrow()));
                 let Some((io, conn)) = io.zip(conn) else {
                     let (seen, told) = (Seen::NeverLeft, Told::default());
                     return self.feed(Input::Ended { call, attempt, seen, told });
@@ -298,7 +325,7 @@
                 self.order(order, &worker, &["provision", &fields]);
             }
             Command::Unload { order, worker, function } => {
-                if let Some(conn) = self.link(&worker).and_then(|l| l.pick(self, Carries::Orders, &[])) {
+                if let Some(conn) = self.link(&worker).and_then(|l| l.pick_for_order(self)) {
                     conn.tell(&["retire", &function]);
                 }
                 // There is no answer to it.
@@ -352,7 +379,7 @@
     }
 
     fn order(self: &Rc<Self>, order: OrderId, worker: &str, words: &[&str]) {
-        let Some(conn) = self.link(worker).and_then(|l| l.pick(self, Carries::Orders, &[])) else {
+        let Some(conn) = self.link(worker).and_then(|l| l.pick_for_order(self)) else {
             let (seen, told) = (Seen::NeverLeft, Told::default());
             return self.feed(Input::OrderEnded { order, seen, told });
         };
@@ -360,6 +387,17 @@
         conn.order(order, words);
     }
 
+    /// Whether an attempt may leave now, asked as its bytes are about to: what this machine holds of the client is heard
+    /// first, and a client that has left is the ledger's to know.
+    pub fn may_leave(self: &Rc<Self>, job: Job) -> bool {
+        let io = self.state.borrow().attempts.get(&job.call).cloned();
+        if io.is_some_and(|io| !io.slot.waits()) {
+            self.left(job.call);
+            return false;
+        }
+        self.with_front(|f| f.may_leave(self.now(), job.call, job.attempt))
+    }
+
     /// An answer has come for an attempt.
     pub fn answered(self: &Rc<Self>, job: Job, seen: Seen, told: Told, body: Vec<u8>) {
         if let Some(io) = self.state.borrow().attempts.get(&job.call) {
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -3,14 +3,15 @@
 
 use crate::hub::{Hub, Setup};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tansy_front::{CallId, OrderId, Seen, Stage, Told};
-use tansy_net_sockets::{socket::Socket, within};
+use tansy_net_sockets::socket::{no_room, Socket};
+use tansy_net_sockets::within;
 use tansy_platform::call::{Asked, RequestId};
 use tansy_resp::{Limits, Reader};
 use tansyrouter::Span;
@@ -21,6 +22,8 @@
 const SHARE: usize = 64 * 1024;
 /// Bytes that may wait for the kernel on one connection; more means that the worker takes nothing.
 const OUTBOX: usize = 1024 * 1024;
+/// Ids of attempts given up on one connection that are remembered: an answer may still come for each.
+const GIVEN_UP: usize = 128;
 
 /// What a connection carries. An answer that can't be read ends all that is open on its connection; a load lasts much
 /// longer than a call, and would mostly not live to its end beside them.
@@ -61,6 +64,8 @@
     queued: u64,
     calls: HashMap<RequestId, Open<Job>>,
     orders: HashMap<OrderId, Open<()>>,
+    /// Calls given up here, the latest last: another of the same id would be taken for them.
+    given_up: VecDeque<RequestId>,
     heard: Instant,
     used: Instant,
     /// An answer has begun and not ended.
@@ -87,8 +92,23 @@
         Rc::new(Link { address, conns: RefCell::new(Vec::new()) })
     }
 
-    /// A connection for one more request, not one of those used before; made if there is none. None: no room.
-    pub fn pick(self: &Rc<Self>, hub: &Rc<Hub>, carries: Carries, used: &[u64]) -> Option<Rc<Conn>> {
+    /// A connection for one more attempt at a call, none of those it used before; made if there is none. None: no room.
+    pub fn pick_for(self: &Rc<Self>, hub: &Rc<Hub>, id: &RequestId, used: &[u64]) -> Option<Rc<Conn>> {
+        self.pick(hub, Carries::Calls, |c| {
+            !used.contains(&c.serial) && !c.state.borrow().given_up.contains(id)
+        })
+    }
+    /// A connection for one more order; made if there is none. None: no room.
+    pub fn pick_for_order(self: &Rc<Self>, hub: &Rc<Hub>) -> Option<Rc<Conn>> {
+        self.pick(hub, Carries::Orders, |_| true)
+    }
+
+    fn pick(
+        self: &Rc<Self>,
+        hub: &Rc<Hub>,
+        carries: Carries,
+        fits: impl Fn(&Conn) -> bool,
+    ) -> Option<Rc<Conn>> {
         self.conns.borrow_mut().retain(|c| !c.state.borrow().ended);
         let room = |c: &&Rc<Conn>| {
             let s = c.state.borrow();
@@ -99,7 +119,7 @@
                 && s.abort.is_none()
                 && fresh
                 && open < hub.setup.streams
-                && !used.contains(&c.serial)
+                && fits(c)
         };
         if let Some(c) = self.conns.borrow().iter().find(room) {
             return Some(c.clone());
@@ -119,6 +139,7 @@
             queued: 0,
             calls: HashMap::new(),
             orders: HashMap::new(),
+            given_up: VecDeque::new(),
             heard: now,
             used: now,
             partial: false,
@@ -235,6 +256,13 @@
             return Some(Seen::NeverLeft);
         }
         self.doubt(open.at);
+        {
+            let mut s = self.state.borrow_mut();
+            s.given_up.push_back(*id);
+            if s.given_up.len() > GIVEN_UP {
+                s.given_up.pop_front();
+            }
+        }
         self.write(&[b"never_mind", id]);
         Some(Seen::Withdrawn)
     }
@@ -279,6 +307,32 @@
         s.retired |= s.heard <= since;
     }
 
+    /// Asks once more of each attempt that has not begun to leave whether it may, and takes back those that may not: it
+    /// was chosen when the connection was not up, or the loop was behind. Orders are recalled by what the list tells.
+    fn hold_back(&self, hub: &Rc<Hub>) {
+        hub.hear_list();
+        let mut asked: Vec<(CallId, u32)> = Vec::new();
+        loop {
+            let next = {
+                let s = self.state.borrow();
+                let waits = s
+                    .calls
+                    .iter()
+                    .filter(|(_, o)| o.from >= s.sent && !asked.contains(&(o.what.call, o.what.attempt)));
+                waits.min_by_key(|(_, o)| o.from).map(|(id, o)| (*id, o.what))
+            };
+            let Some((id, job)) = next else { return };
+            asked.push((job.call, job.attempt));
+            if !hub.may_leave(job) {
+                // Its end may have taken it back already.
+                let open = self.state.borrow_mut().calls.remove(&id);
+                if open.is_some_and(|o| self.unsend(o.from, o.to)) {
+                    hub.attempt_ended(job.call, job.attempt, Seen::NeverLeft, Told::default());
+                }
+            }
+        }
+    }
+
     /// Takes bytes back of which none has left.
     fn unsend(&self, from: u64, to: u64) -> bool {
         let mut s = self.state.borrow_mut();
@@ -300,6 +354,9 @@
     /// One turn: sends what waits, reads a share of what came.
     fn poll(&self, hub: &Rc<Hub>, socket: &Socket, reader: &mut Reader, cx: &Context<'_>) -> Poll<Seen> {
         let cut = Seen::Cut { stage: Stage::Nothing };
+        if !self.state.borrow().out.is_empty() {
+            self.hold_back(hub);
+        }
         {
             let mut s = self.state.borrow_mut();
             if let Some(seen) = s.abort {
@@ -404,7 +461,15 @@
 }
 
 async fn run(hub: &Rc<Hub>, address: SocketAddr, conn: &Rc<Conn>) -> Seen {
-    let Ok(socket) = Socket::connect(hub.spawner.handle(), address) else { return Seen::ConnectRefused };
+    let socket = match Socket::connect(hub.spawner.handle(), address) {
+        Ok(socket) => socket,
+        // That says nothing of the worker; an idle connection makes room for the next.
+        Err(e) if no_room(&e) => {
+            hub.spare();
+            return Seen::NeverLeft;
+        }
+        Err(_) => return Seen::ConnectRefused,
+    };
     let limit = hub.spawner.sleep(hub.setup.connect_within);
     let connected = poll_fn(|cx| {
         let mut s = conn.state.borrow_mut();
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -194,6 +194,10 @@
 
 /// Serves on the platform.
 fn platform(check: bool) -> ExitCode {
+    let signals = match platform::Signals::new() {
+        Ok(signals) => signals,
+        Err(e) => return ended(Err(e)),
+    };
     let path = match std::env::var_os("EDGE_CONFIG") {
         Some(path) => PathBuf::from(path),
         None => return wrong("EDGE_CONFIG is not set: want the path of the configuration"),
@@ -207,7 +211,7 @@
         say(&format!("{}: {classes} classes, list up to event {index}", path.display()));
         return ExitCode::SUCCESS;
     }
-    ended(platform::Platform::start(&config).and_then(|p| p.run(&path)))
+    ended(platform::Platform::start(&config).and_then(|p| p.run(&path, signals)))
 }
 
 /// The program's end: the account, or why it could not go on.
--- a/programs/gateway/src/platform.rs
+++ b/programs/gateway/src/platform.rs
@@ -1,18 +1,18 @@
 //! Serving on the platform: the configuration in, one listener, the coordinator's list, signals.
 
 use crate::Error;
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Signal, Signals as Source};
 use calloop::EventLoop;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tansy_front::{Front, Input};
 use tansy_net_platform::clients::Clients;
 use tansy_net_platform::coordinator::Coordinator;
 use tansy_net_platform::{Hub, Setup};
-use tansy_net_sockets::socket::listen;
+use tansy_net_sockets::socket::{descriptors, listen};
 use tansy_net_sockets::Spawner;
 use tansy_platform::{Config, List};
 use tansyrouter::{Span, Time};
@@ -27,6 +27,10 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How often the totals are logged.
 const TOTALS_EVERY: Duration = Duration::from_secs(10);
+/// A configuration that can't be read is tried again after this, ...
+const READ_AGAIN: Duration = Duration::from_millis(100);
+/// ... so often: no descriptor may have been left, or the file be in the writing.
+const READS: u32 = 20;
 
 /// Reads the configuration; the error says what is wrong with it.
 pub fn read(path: &Path) -> Result<Config, String> {
@@ -34,6 +38,30 @@
     Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// Signals to this process: from here on they wait to be taken up, and end nothing by themselves.
+pub struct Signals(Source);
+
+impl Signals {
+    /// Before all else, so that none comes too early.
+    pub fn new() -> Result<Signals, Error> {
+        Ok(Signals(Source::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?))
+    }
+}
+
+/// What signals have asked for.
+#[derive(Default)]
+struct Asked {
+    stop: Cell<bool>,
+    reload: Cell<bool>,
+}
+
+/// A configuration to be read, at that time, and how often yet if it can't be.
+struct Reload {
+    path: PathBuf,
+    due: Option<Instant>,
+    left: u32,
+}
+
 /// A front end on the platform.
 pub struct Platform {
     event_loop: EventLoop<'static, ()>,
@@ -63,7 +91,9 @@
         let listener = listen(config.listen, false).map_err(|e| format!("listen {}: {e}", config.listen))?;
         let address = listener.local_addr()?;
         let front = Front::new(front, Time(0))?;
-        let hub = Hub::new(spawner.clone(), front, Setup::new(config), Instant::now());
+        // The machine's bound goes before the stated one where it is lower.
+        let setup = Setup::new(config, descriptors());
+        let hub = Hub::new(spawner.clone(), front, setup, Instant::now());
         let list = List::new(config.settings.zones.clone(), config.settings.machine_types.clone());
         let coordinator = Coordinator::start(hub.clone(), list, config.coordinator, &config.known);
         let clients = Clients::start(hub.clone(), listener)?;
@@ -109,53 +139,71 @@
         Ok(())
     }
 
-    /// Takes the configuration anew: the coordinator and what it tells. A bad file leaves all as it was.
-    pub fn reload(&self, path: &Path) {
+    /// Takes the configuration anew: the coordinator and what it tells. False: a bad file; all is as it was.
+    pub fn reload(&self, path: &Path) -> bool {
         match read(path) {
             Ok(config) => {
                 tracing::info!(coordinator = %config.coordinator, index = self.coordinator.index(), "configuration read");
                 self.coordinator.move_to(config.coordinator, &config.known);
+                true
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "the configuration stays as it was");
+                false
             }
-            Err(e) => tracing::error!(error = %e, "the configuration stays as it was"),
         }
     }
 
     /// Serves until SIGTERM or SIGINT, then through the window, answers all, and gives the account's line.
-    pub fn run(mut self, path: &Path) -> Result<String, Error> {
-        let (stop, again) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
-        let (told, reload) = (stop.clone(), again.clone());
-        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
-        let inserted = self.event_loop.handle().insert_source(signals, move |event, _, ()| {
-            if event.signal() == Signal::SIGHUP {
-                reload.set(true);
-            } else {
-                told.set(true);
-            }
+    pub fn run(mut self, path: &Path, signals: Signals) -> Result<String, Error> {
+        let asked = Rc::new(Asked::default());
+        let told = asked.clone();
+        let inserted = self.event_loop.handle().insert_source(signals.0, move |event, _, ()| {
+            let flag = if event.signal() == Signal::SIGHUP { &told.reload } else { &told.stop };
+            flag.set(true);
         });
         inserted.map_err(|e| e.to_string())?;
+        let mut reload = Reload { path: path.to_path_buf(), due: None, left: 0 };
         tracing::info!(listen = %self.address, index = self.coordinator.index(), "serving");
-        while !stop.get() {
-            self.turn(Duration::from_secs(60))?;
-            if again.take() {
-                self.reload(path);
-            }
+        while !asked.stop.get() {
+            self.turn_and_reload(Duration::from_secs(60), &asked, &mut reload)?;
+        }
+        self.finish(&asked, &mut reload)
+    }
+
+    /// One turn, and the configuration if it was asked for meanwhile.
+    fn turn_and_reload(&mut self, most: Duration, asked: &Asked, reload: &mut Reload) -> Result<(), Error> {
+        let due = reload.due.map(|t| t.saturating_duration_since(Instant::now()));
+        self.turn(due.map_or(most, |d| d.min(most)))?;
+        if asked.reload.take() {
+            (reload.due, reload.left) = (Some(Instant::now()), READS);
+        }
+        if reload.due.is_some_and(|t| t <= Instant::now()) {
+            let done = self.reload(&reload.path);
+            reload.left = if done { 0 } else { reload.left.saturating_sub(1) };
+            reload.due = (reload.left > 0).then(|| Instant::now() + READ_AGAIN);
         }
-        self.finish()
+        Ok(())
     }
 
     /// Serves through the window, answers what is open, ends.
-    pub fn finish(mut self) -> Result<String, Error> {
+    fn finish(mut self, asked: &Asked, reload: &mut Reload) -> Result<String, Error> {
         let told = Instant::now();
         let end = told + self.deadline + GRACE;
         tracing::info!(open = self.hub.account().1, "stopping");
         while told.elapsed() < WINDOW {
-            self.turn(WINDOW.saturating_sub(told.elapsed()).max(Duration::from_millis(1)))?;
+            let left = WINDOW.saturating_sub(told.elapsed()).max(Duration::from_millis(1));
+            self.turn_and_reload(left, asked, reload)?;
+        }
+        // What the machine has taken for us is ours: it is read, and served, before calls are refused.
+        while !self.clients.close() && Instant::now() < end {
+            self.turn_and_reload(Duration::from_millis(5), asked, reload)?;
         }
-        self.clients.close();
+        self.turn_and_reload(Duration::ZERO, asked, reload)?;
         let left = end.saturating_duration_since(Instant::now());
         self.hub.feed(Input::Close { within: left.as_micros() as Span });
         while Instant::now() < end + GRACE / 2 && !(self.hub.account().1 == 0 && self.clients.is_empty()) {
-            self.turn(Duration::from_millis(20))?;
+            self.turn_and_reload(Duration::from_millis(20), asked, reload)?;
         }
         let (account, open) = self.hub.account();
         Ok(format!("{account} open={open}"))
--- /dev/null
+++ b/programs/gateway/tests/platform/links.rs
@@ -0,0 +1,110 @@
+//! Connections to workers: what was chosen for one may no longer leave when it can, and what comes on one may be for
+//! another.
+
+use crate::hand::{readable, Hand, Peer};
+use crate::stage::*;
+use std::time::{Duration, Instant};
+
+fn keyed(id: u64) -> Call {
+    Call { class: "keyed", timeout_ms: 2000, ..call(id) }
+}
+
+#[test]
+fn a_further_attempt_that_could_leave_only_after_the_window_does_not() {
+    for behind in [false, true] {
+        let mut worker = Peer::start();
+        let mut hand = Hand::start(&Site::at(&[worker.address]));
+        let mut client = hand.send(&keyed(1));
+        let first = hand.next(&mut worker, "fire");
+        let began = Instant::now();
+        // It may have run; the class's repeats are dropped for one second.
+        worker.say(&first, "500", "-");
+        hand.until("a further attempt is chosen", |p| (p.hub().worker_connections.get() == 3).then_some(()));
+        if behind {
+            // Its connection stands, in the kernel; the loop does not run.
+            until("the window is over", || began.elapsed() > Duration::from_millis(1050));
+            assert_eq!(hand.answer(&mut client), 503, "refused: its repeats are dropped everywhere");
+            worker.look();
+            assert_eq!(worker.fires(1), 1, "a repeat after the window");
+        } else {
+            let second = hand.next(&mut worker, "fire");
+            worker.serve(&second);
+            assert_eq!(hand.answer(&mut client), 200);
+        }
+    }
+}
+
+#[test]
+fn a_late_answer_is_not_taken_for_another_call_of_the_same_id() {
+    let mut worker = Peer::start();
+    let mut hand = Hand::start(&Site::at(&[worker.address]));
+    let client = hand.send(&call(1));
+    let first = hand.next(&mut worker, "fire");
+    // The connection is known to lead somewhere after that call was sent on it: it stays in use.
+    let mut other = hand.send(&call(9));
+    let came = hand.next(&mut worker, "fire");
+    worker.serve(&came);
+    assert_eq!((hand.answer(&mut other), came.on), (200, first.on));
+    drop(client);
+    hand.next(&mut worker, "never_mind");
+    let mut again = hand.send(&Call { body: "another".into(), ..call(1) });
+    let second = hand.next(&mut worker, "fire");
+    worker.serve(&first);
+    hand.pass(Duration::from_millis(20));
+    worker.serve(&second);
+    assert_eq!(hand.answer(&mut again), 200);
+    assert_ne!(first.on, second.on, "on one connection the two can't be told apart");
+}
+
+#[test]
+fn answers_that_come_when_nobody_waits_for_them_change_nothing() {
+    let mut worker = Peer::start();
+    let mut hand = Hand::start(&Site::at(&[worker.address]));
+    let mut client = hand.send(&Call { timeout_ms: 150, ..call(1) });
+    let first = hand.next(&mut worker, "fire");
+    let status = hand.answer(&mut client);
+    assert!(status == 503 || status == 504, "{status}: its time is up");
+    // Too late, twice, and once more some milliseconds later.
+    worker.serve(&first);
+    worker.serve(&first);
+    hand.pass(Duration::from_millis(10));
+    worker.serve(&first);
+    let mut next = hand.send(&call(2));
+    let second = hand.next(&mut worker, "fire");
+    worker.serve(&second);
+    worker.serve(&second);
+    assert_eq!(hand.answer(&mut next), 200);
+    assert_eq!(hand.platform.hub().held()[..3], [0, 0, 0]);
+}
+
+#[test]
+fn a_connection_that_ends_as_a_request_is_picked_for_it() {
+    // Closed or reset while idle, before the loop knows; nothing of the call was read, but that can't be proved.
+    for resets in [false, true] {
+        for class in ["safe", "once"] {
+            let mut worker = Peer::start();
+            let mut hand = Hand::start(&Site::at(&[worker.address]));
+            let mut client = hand.send(&call(1));
+            let came = hand.next(&mut worker, "fire");
+            worker.serve(&came);
+            assert_eq!(hand.answer(&mut client), 200);
+            let mut second = hand.send(&Call { class, ..call(2) });
+            if resets {
+                worker.reset(came.on);
+            } else {
+                worker.end(came.on);
+            }
+            second.0.set_nonblocking(true).unwrap();
+            hand.until("an answer", |_| {
+                worker.take("fire").into_iter().for_each(|came| worker.serve(&came));
+                readable(&second.0)
+            });
+            let status = hand.answer(&mut second);
+            assert!(
+                status == 200 || class == "once" && (status == 502 || status == 503),
+                "{class}: {status}"
+            );
+            assert!(worker.fires(2) <= 1);
+        }
+    }
+}
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -1,7 +1,14 @@
 //! The platform's protocol on loopback: what good and bad clients, workers and coordinators get.
 
+mod departures;
 mod deploy;
+mod descriptors;
+mod hand;
+mod links;
+mod process;
+mod shutdown;
 mod stage;
+mod watch;
 
 use rustix::process::{kill_process, Pid, Signal};
 use stage::*;
@@ -293,10 +300,7 @@
 
 #[test]
 fn a_refused_connect_never_ran_and_a_cut_one_may_have() {
-    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let mut site = Site::of(&[]);
-    site.workers.push(("s-0".into(), nobody));
-    let front = Front::start(&site);
+    let front = Front::start(&Site::at(&[nobody()]));
     let refused = Call { timeout_ms: 600, ..call(1) }.once();
     assert_eq!(front.call(&refused).0, 503, "trying again is harmless");
     let worker = Worker::start(serving(|_| Some((Vec::new(), false))));
--- a/programs/gateway/tests/platform/stage.rs
+++ b/programs/gateway/tests/platform/stage.rs
@@ -153,6 +153,15 @@
     }
 }
 
+/// An address at which nobody listens, nor will while the tests run.
+pub fn nobody() -> SocketAddr {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
+}
+
 fn head(mut socket: &TcpStream) -> Option<String> {
     let mut text = Vec::new();
     let mut byte = [0u8; 1];
@@ -173,16 +182,27 @@
 pub struct Site {
     pub sockets: usize,
     pub keepalive_s: f64,
+    pub connect_timeout_s: f64,
     pub coordinator: SocketAddr,
     pub workers: Vec<(String, SocketAddr)>,
 }
 
 impl Site {
     pub fn of(workers: &[&Worker]) -> Site {
-        let named = workers.iter().enumerate().map(|(n, w)| (format!("s-{n}"), w.address));
-        // Nobody listens there: the list stays as it is known.
-        let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        Site { sockets: 256, keepalive_s: 30.0, coordinator: nobody, workers: named.collect() }
+        Site::at(&workers.iter().map(|w| w.address).collect::<Vec<_>>())
+    }
+
+    pub fn at(workers: &[SocketAddr]) -> Site {
+        let named = workers.iter().enumerate().map(|(n, address)| (format!("s-{n}"), *address));
+        // The list stays as it is known.
+        let nobody = nobody();
+        Site {
+            sockets: 256,
+            keepalive_s: 30.0,
+            connect_timeout_s: 0.25,
+            coordinator: nobody,
+            workers: named.collect(),
+        }
     }
 
     pub fn servers(&self, state: &str) -> String {
@@ -204,8 +224,8 @@
             r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":32,"sockets":{}}},"coordinator":"{}",
             "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"version":1,"full":true,"servers":[{}]}}}}]}},
-            "settings":{{"me":0,"siblings":1,"zones":["a"],"machine_types":["k"],"classes":[{},{}],
-            "policy_limits":{{"cancel":true,"connect_timeout_s":0.25,"keepalive_s":{},"max_attempts":4,"multiplex":32}},
+            "settings":{{"me":0,"siblings":1,"zones":["a"],"machine_types":["k"],"classes":[{},{},{}],
+            "policy_limits":{{"cancel":true,"connect_timeout_s":{},"keepalive_s":{},"max_attempts":4,"multiplex":32}},
             "rules":{{"answer_slack_s":0.05,"drain_grace_s":0.25,"cold_from":0.3,"fall_multiple":4,"fall_s":3,"warm_up_s":5}},
             "specifics":{{"idle_life_s":10,"kind_memory_mb":[4000],"load_wait_s":4,"orders":true,"says_warm":true,
             "tells_crowd":true,"when_absent":"miss"}},"telemetry":{{"fields":["load_share"],"how":"piggyback"}},
@@ -215,6 +235,10 @@
             self.servers("Ready"),
             class("safe", "read_like"),
             class("once", "non_idempotent"),
+            // What a worker remembers of a key, it remembers for a second.
+            class("keyed", "idempotency_key")
+                .replace("\"gain\"", "\"repeat_window_s\":1.0,\"group\":\"all\",\"gain\""),
+            self.connect_timeout_s,
             self.keepalive_s,
         )
     }
