--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -230,8 +230,7 @@
 
     /// Sends an attempt.
     pub fn fire(&self, asked: &Asked, class: &str, body: &[u8], budget: Span, job: Job) {
-        let patience = (budget / 1000).max(1);
-        let fields = format!("sort={class},asset={},patience={patience}", asked.function);
+        let fields = asked.fields(class, (budget / 1000).max(1));
         let (from, to) = self.write(&[b"fire", &asked.id, fields.as_bytes(), body]);
         let open = Open { what: job, from, to, at: Instant::now() };
         self.state.borrow_mut().calls.insert(asked.id, open);
--- a/programs/gateway/tests/platform/links.rs
+++ b/programs/gateway/tests/platform/links.rs
@@ -16,6 +16,7 @@
         let mut hand = Hand::start(&Site::at(&[worker.address]));
         let mut client = hand.send(&keyed(1));
         let first = hand.next(&mut worker, "fire");
+        assert!(first.words[2].ends_with(",op=k1"), "the key goes on as it came: {:?}", first.words);
         let began = Instant::now();
         // It may have run; the class's repeats are dropped for one second.
         worker.say(&first, "500", "-");
--- a/programs/gateway/tests/platform/stage.rs
+++ b/programs/gateway/tests/platform/stage.rs
@@ -351,7 +351,9 @@
         )
     }
     pub fn text(&self) -> String {
-        self.text_with(&self.headers(), "")
+        let key =
+            if self.class == "keyed" { format!("Idempotency-Key: k{}\r\n", self.id) } else { String::new() };
+        self.text_with(&self.headers(), &key)
     }
 }
 
--- a/protocol/conf/src/lib.rs
+++ b/protocol/conf/src/lib.rs
@@ -5,6 +5,9 @@
 use tansyrouter as t;
 use tansyrouter::Span;
 
+/// The effect of a class whose requests carry a key by which workers drop repeats.
+pub const KEYED: &str = "idempotency_key";
+
 /// Seconds as microseconds.
 pub fn span(seconds: f64) -> Span {
     (seconds * 1e6).round() as Span
@@ -242,7 +245,7 @@
         };
         let effect = match k.effect.as_str() {
             "read_like" => t::Effect::Safe,
-            "idempotency_key" => t::Effect::Keyed { group, window: span(k.repeat_window_s) },
+            KEYED => t::Effect::Keyed { group, window: span(k.repeat_window_s) },
             "non_idempotent" => t::Effect::Unsafe,
             other => return Err(format!("effect {other:?} is unknown")),
         };
--- a/protocol/platform/src/call.rs
+++ b/protocol/platform/src/call.rs
@@ -31,18 +31,39 @@
     pub budget: Span,
     /// What it tells of its function.
     pub shape: Shape,
+    /// By which workers drop its repeats: that of a keyed class, as it came.
+    pub key: Option<String>,
+}
+
+impl Asked {
+    /// The fields of an attempt that a worker is sent, `class` being the class's name and `patience_ms` what is left of the
+    /// client's time, milliseconds.
+    pub fn fields(&self, class: &str, patience_ms: i64) -> String {
+        let key = self.key.as_ref().map_or(String::new(), |key| format!(",op={key}"));
+        format!("sort={class},asset={},patience={patience_ms}{key}", self.function)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Class {
+    name: String,
+    deadline: Span,
+    /// Its requests carry a key.
+    keyed: bool,
 }
 
 /// Classes and bounds that requests are held against.
 #[derive(Clone, Debug)]
 pub struct Shapes {
-    classes: Vec<(String, Span)>,
+    classes: Vec<Class>,
     most_memory: f64,
     most_load_ms: f64,
 }
 
 /// Memory of one copy at most where the settings tell of no machine, MB.
 const MOST_MEMORY: f64 = 1e6;
+/// Characters of an idempotency key at most.
+const MOST_KEY: usize = 128;
 /// Lanes of one copy at most: as many as copies can be asked for at once, squared.
 const MOST_LANES: f64 = 256.0;
 
@@ -56,6 +77,12 @@
     bytes.iter().all(ok).then_some(bytes)
 }
 
+/// What passes as one value of a list of fields.
+fn token(text: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    !text.is_empty() && text.len() <= MOST_KEY && text.bytes().all(plain)
+}
+
 /// A plain positive figure: digits, with a fraction perhaps.
 fn figure(text: &str) -> Option<f64> {
     let plain = !text.is_empty() && text.len() <= 16 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
@@ -68,8 +95,13 @@
     pub fn new(conf: &Conf) -> Shapes {
         let most = conf.specifics.kind_memory_mb.iter().copied().fold(0.0, f64::max);
         let load = conf.specifics.load_wait_s * 1e3;
+        let class = |c: &tansy_conf::Class| Class {
+            name: c.name.clone(),
+            deadline: tansy_conf::span(c.deadline_s),
+            keyed: c.effect == tansy_conf::KEYED,
+        };
         Shapes {
-            classes: conf.classes.iter().map(|c| (c.name.clone(), tansy_conf::span(c.deadline_s))).collect(),
+            classes: conf.classes.iter().map(class).collect(),
             most_memory: if most > 0.0 { most } else { MOST_MEMORY },
             most_load_ms: if load > 0.0 { load } else { f64::MAX },
         }
@@ -77,7 +109,7 @@
 
     /// A class's name.
     pub fn class(&self, place: usize) -> &str {
-        self.classes.get(place).map_or("", |c| c.0.as_str())
+        self.classes.get(place).map_or("", |c| c.name.as_str())
     }
 
     /// Reads a request by its method, target and the one value of each header.
@@ -98,16 +130,24 @@
         let id = header("x-request-id").and_then(hex);
         let id = id.ok_or(bad("X-Request-Id: want 16 lower-case hex digits, once"))?;
         let named = header("x-class").ok_or(bad("X-Class: want one of the settings, once"))?;
-        let class = self.classes.iter().position(|c| c.0 == named);
+        let class = self.classes.iter().position(|c| c.name == named);
         let class = class.ok_or(bad("X-Class: want one of the settings"))?;
+        let of = &self.classes[class];
         let wait = header("x-timeout-ms").and_then(figure).map(|ms| (ms * 1e3) as Span);
         // A client waits no longer than its class does, but for the rounding of the figure.
-        let most = self.classes.get(class).map_or(0, |c| c.1) + 1_000;
+        let most = of.deadline + 1_000;
         let budget = wait.filter(|w| (1..=most).contains(w));
         let budget = budget.ok_or(bad("X-Timeout-Ms: want milliseconds, up to the class's deadline"))?;
         let shape = self.shape(header("x-extras").ok_or(bad("X-Extras: want memory_mb and lanes"))?);
         let shape = shape.ok_or(bad("X-Extras: want memory_mb:MB;lanes:N in their ranges"))?;
-        Ok(Asked { id, function: function.to_string(), class, budget, shape })
+        let key = if of.keyed {
+            let key = header("idempotency-key").filter(|k| token(k));
+            let why = "Idempotency-Key: want up to 128 letters, digits, '-' or '_', once, with this class";
+            Some(key.ok_or(bad(why))?.to_string())
+        } else {
+            None
+        };
+        Ok(Asked { id, function: function.to_string(), class, budget, shape, key })
     }
 
     fn shape(&self, text: &str) -> Option<Shape> {
@@ -138,7 +178,8 @@
     use super::*;
 
     fn shapes() -> Shapes {
-        let conf = r#"{"classes":[{"name":"call","deadline_s":2.5,"aim_s":1,"effect":"read_like"}],
+        let conf = r#"{"classes":[{"name":"call","deadline_s":2.5,"aim_s":1,"effect":"read_like"},
+            {"name":"once","deadline_s":2.5,"aim_s":1,"effect":"idempotency_key","repeat_window_s":5}],
             "specifics":{"kind_memory_mb":[4000],"load_wait_s":10}}"#;
         Shapes::new(&serde_json::from_str(conf).unwrap())
     }
@@ -165,6 +206,29 @@
         assert_eq!((asked.class, asked.function.as_str()), (0, "7f3a9c21e0b4d655"));
     }
 
+    #[test]
+    fn a_keyed_class_wants_its_key_and_hands_it_on_as_it_came() {
+        let shapes = shapes();
+        let read = |class: &'static str, key: Option<&'static str>| {
+            let header = |name: &str| match name {
+                "x-class" => Some(class),
+                "idempotency-key" => key,
+                _ => GOOD.iter().find(|g| g.0 == name).map(|g| g.1),
+            };
+            shapes.read("POST", "/ops/7f3a9c21e0b4d655/call", header)
+        };
+        let asked = read("once", Some("045fa587-5B_")).unwrap();
+        assert_eq!(asked.fields("once", 70), "sort=once,asset=7f3a9c21e0b4d655,patience=70,op=045fa587-5B_");
+        assert_eq!(
+            read("call", Some("045f")).unwrap().fields("call", 1),
+            "sort=call,asset=7f3a9c21e0b4d655,patience=1"
+        );
+        let long: &'static str = Box::leak("x".repeat(129).into_boxed_str());
+        for key in [None, Some(""), Some("a,patience=9"), Some("a b"), Some("\u{e9}"), Some(long)] {
+            assert!(read("once", key).is_err(), "{key:?}");
+        }
+    }
+
     #[test]
     fn nothing_else_is() {
         let path = "/ops/7f3a9c21e0b4d655/call";
