Settings that make no sense end the start with key, value and remedy; any that do are tried

Need: other customers' settings. Before, an effect or an aim that could not be named neither key nor value, an address gave "invalid socket address syntax", and absurd spans went through. tansy_conf::check names the first key that is wrong; the configuration's two addresses say what they want.

--- a/programs/gateway/tests/platform/hand.rs
+++ b/programs/gateway/tests/platform/hand.rs
@@ -2,7 +2,7 @@
 //! sockets: what the test has written is in the kernel before the front end's loop runs once, so that two things cross in
 //! the order that the test says.
 
-use crate::stage::{array, reply, Call, Client, Site};
+use crate::stage::{array, file, reply, Call, Client, Site};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -25,7 +25,12 @@
 
 impl Hand {
     pub fn start(site: &Site) -> Hand {
-        let path = site.file("127.0.0.1:0");
+        Hand::of(&site.text("127.0.0.1:0"))
+    }
+
+    /// From a configuration's text.
+    pub fn of(text: &str) -> Hand {
+        let path = file(text);
         let platform = Platform::start(&read(&path).unwrap()).unwrap();
         Hand { platform, path }
     }
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod hand;
 mod links;
 mod process;
+mod settings;
 mod shutdown;
 mod stage;
 mod watch;
--- /dev/null
+++ b/programs/gateway/tests/platform/settings.rs
@@ -0,0 +1,169 @@
+//! Settings of any customer: drawn at random within what is valid, each tried with a few calls. Every call has one answer
+//! in its time, under the names that the settings give, and a configuration that makes no sense ends the start.
+
+use crate::hand::{Hand, Peer};
+use crate::stage::*;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+struct Drawn {
+    text: String,
+    classes: Vec<(String, bool, u64)>,
+    attempts: u64,
+}
+
+/// A name that no part of the program could know.
+fn name(rng: &mut fastrand::Rng) -> String {
+    (0..rng.usize(1..12)).map(|_| *rng.choice(b"abcxyz-_.0189").unwrap_or(&b'x') as char).collect()
+}
+
+fn draw(rng: &mut fastrand::Rng, listen: &str, worker: &Peer) -> Drawn {
+    let zones: Vec<String> = (0..rng.usize(0..4)).map(|_| format!("\"{}\"", name(rng))).collect();
+    let mut classes = Vec::new();
+    let mut texts = Vec::new();
+    for n in 0..rng.usize(1..6) {
+        let (name, deadline) = (format!("{}{n}", name(rng)), rng.u64(200..900));
+        let effect = *rng.choice(&["read_like", "idempotency_key", "non_idempotent"]).unwrap_or(&"read_like");
+        texts.push(format!(
+            r#"{{"name":"{name}","aim_s":{},"deadline_s":{},"effect":"{effect}","group":"{}","repeat_window_s":{},
+            "late_worth":{},"gain":{},"aim_stretch":{}}}"#,
+            deadline as f64 / rng.f64().mul_add(4000.0, 900.0),
+            deadline as f64 / 1000.0,
+            rng.choice(&["", "all", "zone", "cell"]).unwrap_or(&""),
+            rng.f64() * 2.0,
+            rng.f64(),
+            rng.f64() * 9.0,
+            if rng.bool() { 0.0 } else { rng.f64() * 3.0 },
+        ));
+        classes.push((name, effect == "idempotency_key", deadline));
+    }
+    let siblings = *rng.choice(&[1usize, 2, 30, 300]).unwrap_or(&1);
+    let attempts = rng.u64(1..6);
+    let text = format!(
+        r#"{{"name":"n","listen":"{listen}","seed":"{:x}","limits":{{"sockets":{}}},"coordinator":"{}",
+        "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"full":true,"servers":[
+        {{"id":"w","addr":"{}","zone":"?","kind":"?","cell":7,"state":"Ready","weight":{},"started_ms":0}}]}}}}]}},
+        "settings":{{"me":{},"siblings":{siblings},"zones":[{}],"machine_types":[],"classes":[{}],
+        "tenants":[{{"name":"{}","fraction":0.4,"quota_per_s":3}}],
+        "policy_limits":{{"cancel":{},"connect_timeout_s":{},"keepalive_s":{},"max_attempts":{attempts},"multiplex":{},
+        "retry_after":{},"max_retry_after_s":{}}},
+        "prices":{{"cross_zone":{},"origin":{},"probe":{}}},
+        "rules":{{"answer_slack_s":0.05,"drain_grace_s":{},"cold_from":{},"fall_multiple":{},"fall_s":{},"warm_up_s":{}}},
+        "specifics":{{"idle_life_s":{},"kind_memory_mb":[],"load_wait_s":{},"orders":true,"says_warm":{},"tells_crowd":{},
+        "load_free":{},"load_part":{},"load_period_s":{},"when_absent":"{}"}},"tick_s":{}}}}}"#,
+        rng.u64(..),
+        rng.usize(20..2000),
+        nobody(),
+        worker.address,
+        rng.f64() * 10.0,
+        rng.usize(0..siblings),
+        zones.join(","),
+        texts.join(","),
+        name(rng),
+        rng.bool(),
+        0.02 + rng.f64(),
+        rng.f64() * 40.0,
+        rng.usize(1..64),
+        rng.bool(),
+        rng.f64(),
+        rng.f64(),
+        rng.f64(),
+        rng.f64(),
+        rng.f64(),
+        rng.f64(),
+        1.0 + rng.f64() * 6.0,
+        rng.f64() * 5.0,
+        rng.f64() * 20.0,
+        rng.f64() * 20.0,
+        rng.f64() * 10.0,
+        rng.bool(),
+        rng.bool(),
+        rng.usize(0..9),
+        rng.f64(),
+        if rng.bool() { 0.0 } else { rng.f64() * 5.0 },
+        rng.choice(&["miss", "load"]).unwrap_or(&"miss"),
+        rng.f64() * 0.01,
+    );
+    Drawn { text, classes, attempts }
+}
+
+#[test]
+fn a_few_calls_of_every_class_under_any_settings() {
+    let mut rng = fastrand::Rng::with_seed(33);
+    let mut served = 0;
+    for round in 0..60 {
+        let mut worker = Peer::start();
+        let drawn = draw(&mut rng, "127.0.0.1:0", &worker);
+        let mut hand = Hand::of(&drawn.text);
+        let mut open = Vec::new();
+        for id in 0..6u64 {
+            let (class, keyed, deadline) = rng.choice(&drawn.classes).expect("one").clone();
+            let key = if keyed { format!("Idempotency-Key: {id:x}\r\n") } else { String::new() };
+            let call = Call { timeout_ms: deadline, function: id % 3, ..call(id) };
+            let mut headers = call.headers();
+            headers.insert("X-Class", class.clone());
+            let mut client = Client::to(hand.platform.address());
+            client.send(&call.text_with(&headers, &key));
+            open.push((client, id, class, deadline));
+        }
+        let odd = rng.usize(0..5);
+        for (client, id, class, deadline) in &mut open {
+            client.0.set_nonblocking(true).unwrap();
+            let began = std::time::Instant::now();
+            hand.until("an answer", |_| {
+                while let Some(came) = worker.take("fire") {
+                    // Now and then one that is turned away, missed, or fails.
+                    match odd {
+                        0 => worker.say(&came, "503", "-"),
+                        1 => worker.say(&came, "404", "-"),
+                        2 => worker.say(&came, "500", "-"),
+                        _ => worker.serve(&came),
+                    }
+                }
+                crate::hand::readable(&client.0)
+            });
+            let waited = began.elapsed();
+            let status = hand.answer(client);
+            served += u32::from(status == 200);
+            assert!([200, 502, 503, 504].contains(&status), "round {round}: {status}");
+            assert!(
+                waited < Duration::from_millis(*deadline + 60),
+                "round {round}: {waited:?} of {deadline}"
+            );
+            let sort = format!("sort={class},");
+            let fires = worker.log.iter().filter(|c| c.words[0] == "fire" && c.id() == format!("{id:016x}"));
+            let fires: Vec<_> = fires.collect();
+            assert!(fires.iter().all(|c| c.words[2].starts_with(&sort)), "round {round}: {fires:?}");
+            assert!(fires.len() as u64 <= drawn.attempts, "round {round}: {fires:?}");
+        }
+    }
+    assert!(served > 100, "{served} of 360 served: the play is to serve most");
+}
+
+#[test]
+fn a_configuration_that_makes_no_sense_ends_the_start_with_one_line() {
+    let worker = Worker::start(serving(|_| None));
+    let text = Site::of(&[&worker]).text("127.0.0.1:0");
+    for (good, bad, said) in [
+        (r#""siblings":1"#, r#""siblings":0"#, "settings.siblings: 0; want 1 at least"),
+        (r#""fall_s":3"#, r#""fall_s":-3"#, "settings.rules.fall_s: -3; want a number from 0"),
+        (r#""coordinator":""#, r#""coordinator":"nowhere "#, "coordinator: \"nowhere 127.0.0.1:"),
+        (r#""sockets""#, r#""plugs""#, "missing field `sockets`"),
+        (r#"{"name""#, "", "line 1 column"),
+    ] {
+        let path = std::env::temp_dir().join(format!("tansy-absurd-{}.json", std::process::id()));
+        let changed = text.replacen(good, bad, 1);
+        assert_ne!(changed, text, "{good}");
+        std::fs::write(&path, changed).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_tansy-gateway"))
+            .arg("--platform")
+            .env("EDGE_CONFIG", &path)
+            .stdout(Stdio::null())
+            .output()
+            .unwrap();
+        std::fs::remove_file(&path).unwrap();
+        let line = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{line}");
+        assert!(line.lines().count() == 1 && line.contains(said), "{bad}: {line}");
+    }
+}
--- a/programs/gateway/tests/platform/stage.rs
+++ b/programs/gateway/tests/platform/stage.rs
@@ -245,14 +245,19 @@
 
     /// The configuration as a file.
     pub fn file(&self, listen: &str) -> PathBuf {
-        static NEXT: AtomicU64 = AtomicU64::new(0);
-        let n = NEXT.fetch_add(1, Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("tansy-platform-{}-{n}.json", std::process::id()));
-        std::fs::write(&path, self.text(listen)).unwrap();
-        path
+        file(&self.text(listen))
     }
 }
 
+/// A text in a file of its own.
+pub fn file(text: &str) -> PathBuf {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let n = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("tansy-platform-{}-{n}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
 /// What a front end held when it was stopped: calls, ids, orders, links, then functions and workers, then clients.
 pub type Held = ([usize; 4], (usize, usize), usize);
 
--- a/protocol/conf/src/lib.rs
+++ b/protocol/conf/src/lib.rs
@@ -235,8 +235,77 @@
     pub how: String,
 }
 
+/// A span or a figure that is longer or larger than anything it could be meant for.
+const MOST: f64 = 1e9;
+
+/// What of the settings makes no sense: the first key, its value, and what would be right.
+pub fn check(c: &Conf) -> Result<(), String> {
+    let within = |key: &str, value: f64, least: f64| {
+        let wrong = !(least..=MOST).contains(&value);
+        if wrong {
+            Err(format!("{key}: {value}; want a number from {least} to {MOST}"))
+        } else {
+            Ok(())
+        }
+    };
+    let above = |key: &str, value: f64| {
+        let wrong = !(value > 0.0 && value <= MOST);
+        if wrong {
+            Err(format!("{key}: {value}; want a number above 0, up to {MOST}"))
+        } else {
+            Ok(())
+        }
+    };
+    if c.classes.is_empty() {
+        return Err("classes: []; want one class at least".into());
+    }
+    for (n, k) in c.classes.iter().enumerate() {
+        let key = |name: &str| format!("classes[{n}].{name}");
+        if k.name.is_empty() || c.classes[..n].iter().any(|before| before.name == k.name) {
+            return Err(format!("{}: {:?}; want a name of its own", key("name"), k.name));
+        }
+        above(&key("aim_s"), k.aim_s)?;
+        above(&key("deadline_s"), k.deadline_s)?;
+        let others = [("repeat_window_s", k.repeat_window_s), ("aim_stretch", k.aim_stretch)];
+        others.iter().try_for_each(|(name, value)| within(&key(name), *value, 0.0))?;
+        if !["", "all", "zone", "cell"].contains(&k.group.as_str()) {
+            return Err(format!("{}: {:?}; want all, zone or cell", key("group"), k.group));
+        }
+    }
+    let (l, r, s) = (&c.policy_limits, &c.rules, &c.specifics);
+    let counts = [
+        ("siblings", Some(c.siblings)),
+        ("policy_limits.max_attempts", l.max_attempts.map(|n| n as usize)),
+        ("policy_limits.multiplex", l.multiplex),
+        ("policy_limits.most_held", l.most_held),
+    ];
+    if let Some((key, _)) = counts.iter().find(|(_, n)| *n == Some(0)) {
+        return Err(format!("{key}: 0; want 1 at least"));
+    }
+    let spans = [
+        ("policy_limits.connect_timeout_s", l.connect_timeout_s),
+        ("policy_limits.keepalive_s", l.keepalive_s),
+        ("policy_limits.max_retry_after_s", l.max_retry_after_s),
+        ("rules.answer_slack_s", r.answer_slack_s),
+        ("rules.ask_within_s", r.ask_within_s),
+        ("rules.cold_from", r.cold_from),
+        ("rules.drain_grace_s", r.drain_grace_s),
+        ("rules.fall_multiple", r.fall_multiple),
+        ("rules.fall_s", r.fall_s),
+        ("rules.warm_up_s", r.warm_up_s),
+        ("specifics.idle_life_s", s.idle_life_s),
+        ("specifics.load_free", s.load_free),
+        ("specifics.load_part", s.load_part),
+        ("specifics.load_period_s", s.load_period_s),
+        ("specifics.load_wait_s", s.load_wait_s),
+        ("tick_s", c.tick_s),
+    ];
+    spans.iter().try_for_each(|(key, value)| within(key, *value, 0.0))
+}
+
 /// The module's settings, or what of them makes no sense.
 pub fn settings(c: &Conf) -> Result<t::Settings, String> {
+    check(c)?;
     let class = |k: &Class| {
         let group = match k.group.as_str() {
             "zone" => t::Group::Zone,
@@ -247,7 +316,10 @@
             "read_like" => t::Effect::Safe,
             KEYED => t::Effect::Keyed { group, window: span(k.repeat_window_s) },
             "non_idempotent" => t::Effect::Unsafe,
-            other => return Err(format!("effect {other:?} is unknown")),
+            other => {
+                let want = "want read_like, idempotency_key or non_idempotent";
+                return Err(format!("class {:?}: effect: {other:?}; {want}", k.name));
+            }
         };
         Ok(t::Class {
             aim: span(k.aim_s),
--- a/protocol/platform/src/config.rs
+++ b/protocol/platform/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration file, as JSON.
 
 use crate::list::Updates;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 use tansy_conf::Conf;
 
@@ -25,6 +25,7 @@
     #[serde(default)]
     pub name: String,
     /// Where clients connect.
+    #[serde(deserialize_with = "listen")]
     pub listen: SocketAddr,
     /// For random numbers: hex digits, new with each start.
     #[serde(default)]
@@ -32,6 +33,7 @@
     /// What the machine allows.
     pub limits: Limits,
     /// Where the list comes from.
+    #[serde(deserialize_with = "coordinator")]
     pub coordinator: SocketAddr,
     /// The list so far.
     pub known: Updates,
@@ -39,6 +41,18 @@
     pub settings: Conf,
 }
 
+fn address<'de, D: Deserializer<'de>>(from: D, key: &str) -> Result<SocketAddr, D::Error> {
+    let text = String::deserialize(from)?;
+    let wrong = |_| serde::de::Error::custom(format!("{key}: {text:?}; want an address as 127.0.0.1:4222"));
+    text.parse().map_err(wrong)
+}
+fn listen<'de, D: Deserializer<'de>>(from: D) -> Result<SocketAddr, D::Error> {
+    address(from, "listen")
+}
+fn coordinator<'de, D: Deserializer<'de>>(from: D) -> Result<SocketAddr, D::Error> {
+    address(from, "coordinator")
+}
+
 /// A configuration that can't be used, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadConfig(pub String);
@@ -54,9 +68,7 @@
     /// Reads the file's text.
     pub fn read(text: &str) -> Result<Config, BadConfig> {
         let config: Config = serde_json::from_str(text).map_err(|e| BadConfig(e.to_string()))?;
-        if config.settings.classes.iter().any(|c| c.name.is_empty()) {
-            return Err(BadConfig("settings.classes: a class without a name; want one for each".into()));
-        }
+        tansy_conf::check(&config.settings).map_err(|e| BadConfig(format!("settings.{e}")))?;
         Ok(config)
     }
 
