--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod settings;
 mod shutdown;
 mod stage;
+mod together;
 mod watch;
 
 use rustix::process::{kill_process, Pid, Signal};
--- a/programs/gateway/tests/platform/stage.rs
+++ b/programs/gateway/tests/platform/stage.rs
@@ -162,7 +162,7 @@
     address
 }
 
-fn head(mut socket: &TcpStream) -> Option<String> {
+pub fn head(mut socket: &TcpStream) -> Option<String> {
     let mut text = Vec::new();
     let mut byte = [0u8; 1];
     while !text.ends_with(b"\r\n\r\n") {
@@ -384,6 +384,14 @@
         self.0.read_exact(&mut body).ok()?;
         Some((status, String::from_utf8(body).ok()?))
     }
+    /// Whether the other side has ended the connection already.
+    pub fn ended(&self) -> bool {
+        self.0.set_nonblocking(true).unwrap();
+        let ended = matches!(self.0.peek(&mut [0u8]), Ok(0))
+            || matches!(self.0.peek(&mut [0u8]), Err(e) if e.kind() != std::io::ErrorKind::WouldBlock);
+        self.0.set_nonblocking(false).unwrap();
+        ended
+    }
     /// Whether the connection ends, rather than staying silent for so long.
     pub fn ends_within(&mut self, span: Duration) -> bool {
         self.0.set_read_timeout(Some(span)).unwrap();
--- /dev/null
+++ b/programs/gateway/tests/platform/together.rs
@@ -0,0 +1,243 @@
+//! Several front ends as processes of their own over the same workers and the same list, under clients that never rest: one is
+//! told to end and starts again, one is killed, one stands still for a while, a worker drains. Judged from what clients
+//! got and what workers saw.
+
+use crate::process::{free, Program};
+use crate::stage::*;
+use rustix::process::Signal;
+use std::collections::{HashMap, HashSet};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const FRONT_ENDS: usize = 4;
+const CLIENTS_EACH: usize = 2;
+
+/// The list, told to whoever polls it.
+#[derive(Clone)]
+struct Board {
+    address: SocketAddr,
+    events: Arc<Mutex<Vec<String>>>,
+    /// The last event that each poll had, in the order they came.
+    told: Arc<Mutex<Vec<u64>>>,
+}
+
+impl Board {
+    fn start() -> Board {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let board = Board { address, events: Arc::default(), told: Arc::default() };
+        let b = board.clone();
+        std::thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let board = b.clone();
+                std::thread::spawn(move || board.serve(&socket));
+            }
+        });
+        board
+    }
+
+    fn serve(&self, socket: &TcpStream) -> Option<()> {
+        loop {
+            let head = head(socket)?;
+            let target = head.split(' ').nth(1)?.to_string();
+            let follow: usize = target.split("follow=").nth(1)?.split('&').next()?.parse().ok()?;
+            let began = Instant::now();
+            // The first event is in the configuration.
+            let news = loop {
+                let events = self.events.lock().unwrap();
+                if events.len() + 1 > follow || began.elapsed() > Duration::from_millis(900) {
+                    let later: Vec<String> = events.iter().skip(follow - 1).cloned().collect();
+                    break (events.len() + 1, later.join(","));
+                }
+                drop(events);
+                std::thread::yield_now();
+            };
+            self.told.lock().unwrap().push(news.0 as u64);
+            let text = format!(r#"{{"index":{},"updates":[{}]}}"#, news.0, news.1);
+            (&*socket).write_all(&reply(&text)).ok()?;
+        }
+    }
+
+    fn tell(&self, id: &str, address: SocketAddr, state: &str) {
+        let mut events = self.events.lock().unwrap();
+        let index = events.len() + 2;
+        events.push(format!(
+            r#"{{"index":{index},"endpoints":{{"full":false,"servers":[
+            {{"id":"{id}","addr":"{address}","zone":"a","kind":"k","state":"{state}"}}]}}}}"#
+        ));
+    }
+}
+
+/// How a front end stands with the front that sends it clients.
+struct Place {
+    address: SocketAddr,
+    /// New requests go there.
+    open: AtomicBool,
+    /// It has been killed: what it held is lost, and no fault.
+    killed: AtomicU64,
+}
+
+/// One call's end, as its client saw it.
+#[derive(Debug)]
+enum End {
+    Answer(u16, bool),
+    Lost,
+}
+
+struct Clients {
+    places: Vec<Place>,
+    next: AtomicU64,
+    stop: AtomicBool,
+    answered: AtomicU64,
+    ends: Mutex<HashMap<u64, (usize, End)>>,
+    /// Held to write by a test that closes a place: no client is between looking and sending then.
+    gate: RwLock<()>,
+}
+
+impl Clients {
+    fn run(self: &Arc<Self>, at: usize) -> JoinHandle<()> {
+        let all = self.clone();
+        std::thread::spawn(move || {
+            let mut connection: Option<Client> = None;
+            while !all.stop.load(Ordering::SeqCst) {
+                let place = &all.places[at];
+                let gate = all.gate.read().unwrap();
+                if !place.open.load(Ordering::SeqCst) {
+                    drop(gate);
+                    connection = None;
+                    std::thread::yield_now();
+                    continue;
+                }
+                let id = all.next.fetch_add(1, Ordering::SeqCst);
+                let killed = place.killed.load(Ordering::SeqCst);
+                let call = Call { function: id % 3, ..call(id) };
+                let call = if id.is_multiple_of(2) { call.once() } else { call };
+                let mut client = connection.take().unwrap_or_else(|| Client::to(place.address));
+                client.send(&call.text());
+                drop(gate);
+                let end = match client.answer() {
+                    Some((status, body)) => {
+                        connection = Some(client);
+                        all.answered.fetch_add(1, Ordering::SeqCst);
+                        End::Answer(status, body == call.body)
+                    }
+                    None if place.killed.load(Ordering::SeqCst) > killed => continue,
+                    None => End::Lost,
+                };
+                all.ends.lock().unwrap().insert(id, (at, end));
+                // An answer may say that the connection ends.
+                connection = connection.filter(|c| !c.ended());
+            }
+        })
+    }
+
+    /// No request goes there from here on.
+    fn close(&self, at: usize) {
+        let _none = self.gate.write().unwrap();
+        self.places[at].open.store(false, Ordering::SeqCst);
+    }
+    fn open(&self, at: usize) {
+        self.places[at].open.store(true, Ordering::SeqCst);
+    }
+    /// Waits until so many more calls have been answered.
+    fn more(&self, calls: u64) {
+        let until_then = self.answered.load(Ordering::SeqCst) + calls;
+        until("calls go on", || self.answered.load(Ordering::SeqCst) >= until_then);
+    }
+}
+
+#[test]
+fn some_end_some_are_killed_and_one_stands_still() {
+    let workers: Vec<Worker> = (0..3).map(|_| Worker::start(serving(|_| None))).collect();
+    let board = Board::start();
+    let site = Site { coordinator: board.address, ..Site::of(&workers.iter().collect::<Vec<_>>()) };
+    let start = |address: SocketAddr| {
+        let program = Program::spawn(site.file(&address.to_string()), address);
+        program.serves();
+        program
+    };
+    let addresses: Vec<SocketAddr> = (0..FRONT_ENDS).map(|_| free()).collect();
+    let mut programs: Vec<Option<Program>> = addresses.iter().map(|a| Some(start(*a))).collect();
+    let place = |address: &SocketAddr| Place {
+        address: *address,
+        open: AtomicBool::new(true),
+        killed: AtomicU64::new(0),
+    };
+    let clients = Arc::new(Clients {
+        places: addresses.iter().map(place).collect(),
+        next: AtomicU64::new(1),
+        stop: AtomicBool::new(false),
+        answered: AtomicU64::new(0),
+        ends: Mutex::default(),
+        gate: RwLock::default(),
+    });
+    let threads: Vec<_> = (0..FRONT_ENDS * CLIENTS_EACH).map(|n| clients.run(n % FRONT_ENDS)).collect();
+    for round in 0..3 {
+        clients.more(60);
+        // One is told to end while calls come, and starts again under its address.
+        let program = programs[0].as_mut().unwrap();
+        program.signal(Signal::TERM);
+        clients.more(20);
+        clients.close(0);
+        assert_eq!(program.ends(), Some(0), "round {round}");
+        programs[0] = Some(start(addresses[0]));
+        clients.open(0);
+        // One is killed outright, with a call of each of its clients in its buffers.
+        programs[1].as_ref().unwrap().halt();
+        clients.more(60);
+        clients.close(1);
+        clients.places[1].killed.fetch_add(1, Ordering::SeqCst);
+        drop(programs[1].take());
+        programs[1] = Some(start(addresses[1]));
+        clients.open(1);
+        // One stands still while the others go on, and a worker drains or comes back meanwhile.
+        let program = programs[2].as_ref().unwrap();
+        program.halt();
+        clients.more(60);
+        let (drains, state) = (&workers[0], if round % 2 == 0 { "Terminating" } else { "Ready" });
+        board.tell("s-0", drains.address, state);
+        let events = board.events.lock().unwrap().len() as u64 + 1;
+        program.resume();
+        // Each has polled again with that event in hand: the answer to its next poll has been asked for.
+        let told = || board.told.lock().unwrap().iter().filter(|i| **i == events).count();
+        until("all have been told", || told() >= 2 * FRONT_ENDS);
+        if state == "Terminating" {
+            let (fires, loads) = (drains.all("fire").len(), drains.all("provision").len());
+            clients.more(60);
+            assert_eq!(drains.all("fire").len(), fires, "round {round}: calls to a worker that drains");
+            assert_eq!(drains.all("provision").len(), loads, "round {round}: loads at a worker that drains");
+        }
+    }
+    clients.stop.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|t| t.join().expect("a client"));
+    for mut program in programs.into_iter().flatten() {
+        program.signal(Signal::TERM);
+        assert_eq!(program.ends(), Some(0));
+    }
+
+    let ends = clients.ends.lock().unwrap();
+    let mut served = 0;
+    for (id, (at, end)) in ends.iter() {
+        match end {
+            End::Answer(200, own) => {
+                assert!(own, "call {id} at {at}: another's body");
+                served += 1;
+            }
+            End::Answer(status, _) => {
+                assert!([502, 503, 504].contains(status), "call {id} at {at}: {status}")
+            }
+            End::Lost => panic!("call {id} at {at}: no answer"),
+        }
+    }
+    assert!(served * 10 >= ends.len() * 9, "{served} of {} served", ends.len());
+    // Whatever happened, no call that must not be repeated ran twice, at any worker, through any front end.
+    let mut ran = HashSet::new();
+    for came in workers.iter().flat_map(|w| w.all("fire")) {
+        let id = u64::from_str_radix(&came.words[1], 16).unwrap();
+        assert!(ran.insert(id) || id % 2 == 1, "call {id} ran twice");
+    }
+}
--- a/protocol/platform/src/list.rs
+++ b/protocol/platform/src/list.rs
@@ -104,6 +104,11 @@
         self.index
     }
 
+    /// Workers held: told, and not gone.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Takes a reply; gives the changes of each event later than those held, in order, and whether it is the whole list.
     /// `unix_ms`: the Unix clock now.
     pub fn take(&mut self, updates: &Updates, unix_ms: f64) -> Vec<(bool, Vec<Change>)> {
