--- a/net/platform/src/clients.rs
+++ b/net/platform/src/clients.rs
@@ -163,7 +163,7 @@
         let source = Generic::new(listener, Interest::READ, Mode::Level);
         let inner = clients.clone();
         let token = hub.spawner.handle().insert_source(source, move |_, _, ()| {
-            if inner.accept(ACCEPTS) != Accepted::Full {
+            if inner.accept() != Accepted::Full {
                 return Ok(PostAction::Continue);
             }
             inner.rest();
@@ -185,7 +185,7 @@
     /// for one. False: not all of these are accepted yet, and it is to be called again after a turn of the loop.
     pub fn close(self: &Rc<Self>) -> bool {
         self.closed.set(true);
-        let accepted = self.accept(ACCEPTS);
+        let accepted = self.accept();
         let open: Vec<_> = self.open.borrow().values().cloned().collect();
         let waits = |c: &&Rc<Client>| matches!(c.phase.get(), Phase::Silent | Phase::Idle) && !c.shed.get();
         open.iter().filter(waits).for_each(|c| self.shed(c));
@@ -199,10 +199,10 @@
         true
     }
 
-    /// Accepts what waits, so many at most.
-    fn accept(self: &Rc<Self>, most: usize) -> Accepted {
+    /// Accepts what waits, up to a turn's share.
+    fn accept(self: &Rc<Self>) -> Accepted {
         let Some(listener) = self.listener.borrow().clone() else { return Accepted::All };
-        for _ in 0..most {
+        for _ in 0..ACCEPTS {
             if self.len() >= self.hub.setup.clients + self.shedding.get() && !self.make_room() {
                 return Accepted::Full;
             }
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -36,7 +36,7 @@
 }
 
 /// Which attempt.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Job {
     /// Its call.
     pub call: CallId,
@@ -310,18 +310,15 @@
     /// was chosen when the connection was not up, or the loop was behind. Orders are recalled by what the list tells.
     fn hold_back(&self, hub: &Rc<Hub>) {
         hub.hear_list();
-        let mut asked: Vec<(CallId, u32)> = Vec::new();
+        let mut asked: Vec<Job> = Vec::new();
         loop {
             let next = {
                 let s = self.state.borrow();
-                let waits = s
-                    .calls
-                    .iter()
-                    .filter(|(_, o)| o.from >= s.sent && !asked.contains(&(o.what.call, o.what.attempt)));
+                let waits = s.calls.iter().filter(|(_, o)| o.from >= s.sent && !asked.contains(&o.what));
                 waits.min_by_key(|(_, o)| o.from).map(|(id, o)| (*id, o.what))
             };
             let Some((id, job)) = next else { return };
-            asked.push((job.call, job.attempt));
+            asked.push(job);
             if !hub.may_leave(job) {
                 // Its end may have taken it back already.
                 let open = self.state.borrow_mut().calls.remove(&id);
--- /dev/null
+++ b/protocol/platform/tests/call.rs
@@ -0,0 +1,103 @@
+//! A client's request to a call: the page's exact form, and nothing else.
+
+use tansy_front::Shape;
+use tansy_platform::{Asked, BadCall, Shapes};
+
+fn shapes() -> Shapes {
+    let conf = r#"{"classes":[{"name":"call","deadline_s":2.5,"aim_s":1,"effect":"read_like"},
+        {"name":"once","deadline_s":2.5,"aim_s":1,"effect":"idempotency_key","repeat_window_s":5}],
+        "specifics":{"kind_memory_mb":[4000],"load_wait_s":10}}"#;
+    Shapes::new(&serde_json::from_str(conf).unwrap())
+}
+
+const GOOD: [(&str, &str); 4] = [
+    ("x-class", "call"),
+    ("x-request-id", "9b1f03aa5c7e2d41"),
+    ("x-timeout-ms", "1500"),
+    ("x-extras", "memory_mb:512;lanes:2"),
+];
+
+fn read(target: &str, change: Option<(&str, Option<&'static str>)>) -> Result<Asked, BadCall> {
+    shapes().read("POST", target, |name| match change {
+        Some((n, v)) if n == name => v,
+        _ => GOOD.iter().find(|g| g.0 == name).map(|g| g.1),
+    })
+}
+
+#[test]
+fn the_pages_form_is_a_call() {
+    let asked = read("/ops/7f3a9c21e0b4d655/call", None).unwrap();
+    assert_eq!(asked.budget, 1_500_000);
+    assert_eq!(asked.shape, Shape { lanes: 2, memory_mb: 512.0, load_time: None });
+    assert_eq!((asked.class, asked.function.as_str()), (0, "7f3a9c21e0b4d655"));
+}
+
+#[test]
+fn a_keyed_class_wants_its_key_and_hands_it_on_as_it_came() {
+    let shapes = shapes();
+    let read = |class: &'static str, key: Option<&'static str>| {
+        let header = |name: &str| match name {
+            "x-class" => Some(class),
+            "idempotency-key" => key,
+            _ => GOOD.iter().find(|g| g.0 == name).map(|g| g.1),
+        };
+        shapes.read("POST", "/ops/7f3a9c21e0b4d655/call", header)
+    };
+    let asked = read("once", Some("045fa587-5B_")).unwrap();
+    assert_eq!(asked.fields("once", 70), "sort=once,asset=7f3a9c21e0b4d655,patience=70,op=045fa587-5B_");
+    assert_eq!(
+        read("call", Some("045f")).unwrap().fields("call", 1),
+        "sort=call,asset=7f3a9c21e0b4d655,patience=1"
+    );
+    let long: &'static str = Box::leak("x".repeat(129).into_boxed_str());
+    for key in [None, Some(""), Some("a,patience=9"), Some("a b"), Some("\u{e9}"), Some(long)] {
+        assert!(read("once", key).is_err(), "{key:?}");
+    }
+}
+
+#[test]
+fn nothing_else_is() {
+    let path = "/ops/7f3a9c21e0b4d655/call";
+    for target in [
+        "/",
+        "/ops",
+        "/ops/7f3a/call",
+        "/ops/7f3a9c21e0b4d65z/call",
+        "/ops/7f3a9c21e0b4d655",
+        "*",
+        "/ops/7f3a9c21e0b4d655/call/",
+        "/ops/7f3a9c21e0b4d655/call?x",
+        "//ops/7f3a9c21e0b4d655/call",
+    ] {
+        assert_eq!(read(target, None).unwrap_err().status, 404, "{target}");
+    }
+    let odd: &[(&str, &[&str])] = &[
+        ("x-class", &["", "Call", "other", "call "]),
+        ("x-request-id", &["", "9b1f", "9b1f03aa5c7e2d4g", "9b1f03aa5c7e2d411", "9B1F03AA5C7E2D41"]),
+        ("x-timeout-ms", &["", "0", "-1", "nan", "inf", "1e3", "abc", "2502", "99999999999999999999", "+5"]),
+        (
+            "x-extras",
+            &[
+                "",
+                "memory_mb:512",
+                "lanes:2",
+                "memory_mb:512;lanes:0",
+                "memory_mb:-1;lanes:2",
+                "memory_mb:512;lanes:2.5",
+                "memory_mb:1e3;lanes:2",
+                "memory_mb:5000;lanes:2",
+                "memory_mb:x;lanes:2",
+                "memory_mb:512;lanes:2;lanes:2",
+                "memory_mb:512;lanes:2;x:1",
+                "memory_mb:512;lanes:900000",
+            ],
+        ),
+    ];
+    for (name, values) in odd {
+        for value in *values {
+            assert!(read(path, Some((name, Some(value)))).is_err(), "{name}: {value}");
+        }
+        assert!(read(path, Some((name, None))).is_err(), "without {name}");
+    }
+    assert_eq!(shapes().read("PUT", path, |_| None).unwrap_err().status, 405);
+}
