Tests of drains judge what follows the event in one place

Read once more, four tests had the same tail. It is one function now, which also compares calls and loads in each of them where three looked at one alone; the assertions stay. Checked: 8 tests of the watch pass.

--- a/programs/gateway/tests/platform/watch.rs
+++ b/programs/gateway/tests/platform/watch.rs
@@ -19,6 +19,20 @@
     hand.until("a poll", |_| source.look())
 }
 
+/// What follows an event that has just been told: a worker that drains gets no call and no load more, once the list has
+/// been heard and for as long as anything could wait here; one that does not gets the call.
+fn after(drains: bool, hand: &mut Hand, source: &mut Source, worker: &mut Peer) {
+    if !drains {
+        hand.next(worker, "fire");
+        return;
+    }
+    let had = (worker.count("fire"), worker.count("provision"));
+    next(hand, source);
+    hand.pass(Duration::from_millis(60));
+    worker.look();
+    assert_eq!((worker.count("fire"), worker.count("provision")), had);
+}
+
 #[test]
 fn a_drain_goes_before_a_held_call_whose_lane_comes_free() {
     for drains in [false, true] {
@@ -28,14 +42,8 @@
             let on = next(&mut hand, &mut source);
             let drain = event(2, "s-0", worker.address, if drains { "Terminating" } else { "Ready" });
             both(list_first, || source.reply(on, &drain), || worker.serve(&out[0]));
-            if drains {
-                next(&mut hand, &mut source);
-                hand.pass(Duration::from_millis(60));
-                worker.look();
-                assert_eq!(worker.fires(3), 0, "list first: {list_first}");
-            } else {
-                hand.next(&mut worker, "fire");
-            }
+            after(drains, &mut hand, &mut source, &mut worker);
+            assert!(!drains || worker.fires(3) == 0, "list first: {list_first}");
         }
     }
 }
@@ -56,15 +64,7 @@
             let _second = hand.send(&Call { function, ..call(2) });
             let told = event(2, "s-0", worker.address, if drains { "Terminating" } else { "Ready" });
             source.reply(on, &told);
-            let (fires, loads) = (worker.count("fire"), worker.count("provision"));
-            if drains {
-                next(&mut hand, &mut source);
-                hand.pass(Duration::from_millis(60));
-                worker.look();
-                assert_eq!((worker.count("fire"), worker.count("provision")), (fires, loads));
-            } else {
-                hand.next(&mut worker, "fire");
-            }
+            after(drains, &mut hand, &mut source, &mut worker);
         }
     }
 }
@@ -78,14 +78,8 @@
         comes_up(&mut worker, 3);
         let told = event(2, "s-0", worker.address, if drains { "Terminating" } else { "Ready" });
         source.reply(on, &told);
-        if drains {
-            next(&mut hand, &mut source);
-            hand.pass(Duration::from_millis(60));
-            worker.look();
-            assert_eq!(worker.fires(1), 0);
-        } else {
-            hand.next(&mut worker, "fire");
-        }
+        after(drains, &mut hand, &mut source, &mut worker);
+        assert!(!drains || worker.fires(1) == 0);
     }
 }
 
@@ -104,14 +98,8 @@
         comes_up(&mut worker, 2);
         let told = event(2, "s-0", worker.address, if drains { "Terminating" } else { "Ready" });
         source.reply(on, &told);
-        if drains {
-            next(&mut hand, &mut source);
-            hand.pass(Duration::from_millis(60));
-            worker.look();
-            assert_eq!(worker.count("provision"), 0);
-        } else {
-            hand.next(&mut worker, "fire");
-        }
+        after(drains, &mut hand, &mut source, &mut worker);
+        assert!(!drains || worker.count("provision") == 0);
     }
 }
 
