Fault soak: real processes, fault proxies, signals, clock and system calls; an oracle

Need: faults that overlap in time, on real processes and sockets, judged by invariants and not by a simulator. Facts are noted at sockets and processes alone; oracle.rs judges them.

--- /dev/null
+++ b/tests/soak/src/facts.rs
@@ -0,0 +1,210 @@
+//! What was seen on the sockets and of the processes, with the time: the only thing that the oracle judges from.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// A request's id.
+pub type RequestId = u64;
+/// A front end's place in the fleet; a restarted process keeps it.
+pub type Place = usize;
+/// A worker's number.
+pub type WorkerId = usize;
+
+/// What running a request twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It may run again.
+    Safe,
+    /// It must not run twice.
+    Unsafe,
+}
+
+/// How a client's connection ended with a request open on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The front end closed or reset it, with nothing of an answer.
+    Closed,
+    /// The answer was cut short.
+    HalfAnswer,
+}
+
+/// One thing that was seen.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// A request's last byte was written.
+    Sent {
+        /// The request.
+        id: RequestId,
+        /// To which front end, and which of its processes, from 0.
+        place: Place,
+        /// The process's number at that place.
+        process: u64,
+        /// What running it twice would do.
+        effect: Effect,
+        /// How long its client waits.
+        timeout: Duration,
+        /// The connection had been idle before: its end within the crossing time makes the client send once more.
+        idle_before: bool,
+    },
+    /// An answer came whole.
+    Answered {
+        /// The request.
+        id: RequestId,
+        /// Its status.
+        status: u16,
+        /// The body is the one that a worker makes for this request.
+        own_body: bool,
+    },
+    /// The client closed or reset its connection.
+    Left {
+        /// The request.
+        id: RequestId,
+    },
+    /// The front end ended the connection.
+    Dropped {
+        /// The request.
+        id: RequestId,
+        /// How.
+        how: ConnectionEnd,
+    },
+    /// No answer came until long after the request's time.
+    Unanswered {
+        /// The request.
+        id: RequestId,
+    },
+    /// An attempt came whole to the proxy of a worker.
+    Began {
+        /// The request.
+        id: RequestId,
+        /// The worker.
+        worker: WorkerId,
+        /// The proxy's connection.
+        connection: u64,
+        /// The time that the worker was told, milliseconds.
+        patience_ms: u64,
+    },
+    /// An attempt ended: the worker's answer was written, it was given up, or its connection ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// The proxy's connection.
+        connection: u64,
+        /// The worker said that it did not run.
+        never_ran: bool,
+    },
+    /// A load order for at least one copy came to the proxy of a worker.
+    LoadBegan {
+        /// The worker.
+        worker: WorkerId,
+        /// The proxy's connection.
+        connection: u64,
+    },
+    /// A connection to a proxy was made by the process with this port's owner.
+    Connected {
+        /// The proxy's connection.
+        connection: u64,
+        /// The other side's port.
+        port: u16,
+    },
+    /// A worker's state changed at the coordinator.
+    Listed {
+        /// The event's number.
+        event: u64,
+        /// The worker.
+        worker: WorkerId,
+        /// It takes work.
+        ready: bool,
+    },
+    /// A poll was answered up to this event.
+    Polled {
+        /// The front end.
+        place: Place,
+        /// The process's number at that place.
+        process: u64,
+        /// The last event that the front end held.
+        event: u64,
+    },
+    /// A process was started.
+    Started {
+        /// The front end.
+        place: Place,
+        /// Its number at that place.
+        process: u64,
+    },
+    /// It answered that it is alive.
+    Ready {
+        /// The front end.
+        place: Place,
+        /// Its number at that place.
+        process: u64,
+    },
+    /// A signal was sent to it.
+    Signalled {
+        /// The front end.
+        place: Place,
+        /// Its number at that place.
+        process: u64,
+        /// Which.
+        signal: Signal,
+    },
+    /// It ended.
+    Exited {
+        /// The front end.
+        place: Place,
+        /// Its number at that place.
+        process: u64,
+        /// Its exit code; none: a signal ended it.
+        code: Option<i32>,
+        /// Its last line on standard output.
+        account: String,
+    },
+    /// This harness itself ran late by so much: what happened in that time is seen late.
+    HarnessLate(Duration),
+    /// A trouble began, in words.
+    Trouble(String),
+}
+
+/// A signal that the soak sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGTERM.
+    Terminate,
+    /// SIGKILL.
+    Kill,
+    /// SIGHUP.
+    Reload,
+    /// SIGSTOP.
+    Stop,
+    /// SIGCONT.
+    Continue,
+}
+
+/// The facts of one run, in the order in which they were seen.
+#[derive(Debug)]
+pub struct Facts {
+    began: Instant,
+    all: Mutex<Vec<(Duration, Fact)>>,
+}
+
+impl Default for Facts {
+    fn default() -> Facts {
+        Facts { began: Instant::now(), all: Mutex::default() }
+    }
+}
+
+impl Facts {
+    /// Time since the run began.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+    /// Notes a fact as of now.
+    pub fn note(&self, fact: Fact) {
+        let mut all = self.all.lock().unwrap_or_else(|e| e.into_inner());
+        let now = self.began.elapsed();
+        all.push((now, fact));
+    }
+    /// All that was noted.
+    pub fn take(&self) -> Vec<(Duration, Fact)> {
+        std::mem::take(&mut *self.all.lock().unwrap_or_else(|e| e.into_inner()))
+    }
+}
