Failing tests: interrupted signals, a stopped process, a late connection; known failures

Seen: each of the three fails on the code as it is. An EINTR as SIGTERM comes ends the process with four calls open (exit 1); a call that waited 0.9 s in the kernel is sent on with its whole time; a worker is told 1,979 ms where the client had 1,011 left, since the connection came up late.

--- a/programs/gateway/tests/platform/hand.rs
+++ b/programs/gateway/tests/platform/hand.rs
@@ -271,6 +271,10 @@
         self.asks[on].write_all(bytes).unwrap();
         delivered(&self.asks[on]);
     }
+    /// A whole reply, unless the other side has given the connection up.
+    pub fn try_reply(&mut self, on: usize, body: &str) {
+        let _ = self.asks[on].write_all(&reply(body));
+    }
     /// A whole reply.
     pub fn reply(&mut self, on: usize, body: &str) {
         self.write(on, &reply(body));
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod departures;
 mod deploy;
 mod descriptors;
+mod faults;
 mod hand;
 mod links;
 mod process;
