--- a/benches/state/src/day.rs
+++ b/benches/state/src/day.rs
@@ -261,6 +261,7 @@
         repeat: false,
         shape: unlisted.then_some(shape),
         unlisted: false,
+        waited: 0,
     })
 }
 
--- a/benches/state/src/workers.rs
+++ b/benches/state/src/workers.rs
@@ -505,6 +505,7 @@
             repeat: false,
             shape: Some(Shape { lanes: LANES, memory_mb: 256.0, load_time: Some(LOAD) }),
             unlisted: false,
+            waited: 0,
         });
         let began = Instant::now();
         self.step(n, input);
--- a/decide/front/benches/run/mod.rs
+++ b/decide/front/benches/run/mod.rs
@@ -95,6 +95,7 @@
             repeat: false,
             shape: None,
             unlisted: false,
+            waited: 0,
         };
         self.step(Input::Call(call));
     }
--- a/decide/front/src/ledger.rs
+++ b/decide/front/src/ledger.rs
@@ -5,6 +5,7 @@
 //! while an earlier one may still be open for a worker.
 
 mod calls;
+pub mod guards;
 mod orders;
 mod scoped;
 mod terms;
--- a/decide/front/src/ledger/calls.rs
+++ b/decide/front/src/ledger/calls.rs
@@ -18,6 +18,7 @@
         out: &mut Vec<Command>,
     ) {
         let id = call.call;
+        let waited = waited + call.waited.max(0);
         if let Some((_, shape)) = scope {
             call.shape = Some(shape);
         }
@@ -53,7 +54,8 @@
         if waited > 0 && budget == 0 {
             // Nothing was sent for it.
             self.account.refused += 1;
-            let answer = Answer::Refused { stay_away: self.till_known() };
+            let stay_away = if scope.is_some() { self.till_known() } else { 0 };
+            let answer = Answer::Refused { stay_away };
             self.counted(class, Some(answer), arrived);
             out.push(Command::Answer { call: id, answer });
             return;
@@ -102,19 +104,18 @@
         give_up: Option<Time>,
         out: &mut Vec<Command>,
     ) {
-        let ready = self.states.get(&worker) == Some(&WorkerState::Ready);
         let name = self.workers.name(worker.0).map(str::to_string);
         let connect = self.config.settings.connect_timeout;
+        // Guards behind the module's own: what it never does is not done if it errs either.
+        let may = self.may_begin(id, worker);
         let Some(c) = self.calls.get_mut(&id) else {
             self.account.guarded += 1;
             return;
         };
         let number = c.sent;
         c.sent += 1;
-        // Guards of rules 1, 2 and 3 behind the module's own: what it never does is not done if it errs either.
-        let may = !c.answered && c.attempt.is_none() && ready;
-        let Some(name) = name.filter(|_| may) else {
-            debug_assert!(false, "the module sent {id:?} to {worker:?}: answered {}", c.answered);
+        let Some(name) = name.filter(|_| may.is_ok()) else {
+            debug_assert!(false, "the module sent {id:?} to {worker:?}: {may:?}");
             self.account.guarded += 1;
             return;
         };
@@ -130,19 +131,6 @@
         out.push(Command::Open { call: id, attempt: number, worker: name, budget });
     }
 
-    /// Whether an attempt may leave at this moment, which can be long after it was chosen: its call is owed an answer,
-    /// its worker takes work, and where repeats are dropped for a while, that while is not over.
-    pub fn may_leave(&self, now: Time, id: CallId, attempt: u32) -> bool {
-        let Some(c) = self.calls.get(&id).filter(|c| !c.answered && now < c.deadline) else { return false };
-        let Some(a) = c.attempt.as_ref().filter(|a| a.number == attempt) else { return false };
-        let waits = matches!(a.phase, Phase::Opening | Phase::Confirming);
-        let remembered = match self.config.settings.classes[c.class].effect {
-            Effect::Keyed { window, .. } => c.ran_from.is_none_or(|first| now.since(first) < window),
-            Effect::Safe | Effect::Unsafe => true,
-        };
-        waits && remembered && self.states.get(&a.worker) == Some(&WorkerState::Ready)
-    }
-
     pub(super) fn on_opened(&mut self, id: CallId, attempt: u32) {
         let Some(a) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
         if a.number == attempt && matches!(a.phase, Phase::Opening | Phase::Confirming) {
--- a/decide/front/src/ledger/orders.rs
+++ b/decide/front/src/ledger/orders.rs
@@ -11,7 +11,7 @@
         n: u32,
         out: &mut Vec<Command>,
     ) {
-        let ready = self.states.get(&worker) == Some(&WorkerState::Ready);
+        let ready = self.may_use(worker).is_ok();
         let settings = &self.config.settings;
         let (limit, connect) = (settings.order_timeout, settings.connect_timeout);
         let names = self.name(worker).zip(match kind {
--- a/decide/front/src/ledger/terms.rs
+++ b/decide/front/src/ledger/terms.rs
@@ -67,6 +67,11 @@
         self.places.get(place).copied()
     }
 
+    /// What running a call of this class twice would do; the class as in a [`Call`].
+    pub fn effect(&self, class: usize) -> Effect {
+        self.config.settings.classes.get(class).map_or(Effect::Unsafe, |c| c.effect)
+    }
+
     /// A tenant's number in a [`Call`], by its name.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.config.tenants.iter().position(|t| t == name)
--- a/decide/front/src/lib.rs
+++ b/decide/front/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`account`]: what was taken, answered and sent; it must balance.
 //! - [`count`]: final answers by class, for whoever compares front ends.
 //! - [`lacking`]: workers whose orders leave nothing, and when the operator is told.
+//! - [`invariants`]: the rules checked again at run time, by what really left and came.
 //! - [`ids`]: names to the module's numbers.
 //! - [`parked`]: calls that wait until their function's settings are known.
 //! - [`record`]: inputs and commands as lines, and their replay.
@@ -17,6 +18,7 @@
 pub mod config;
 pub mod count;
 pub mod ids;
+pub mod invariants;
 pub mod lacking;
 pub mod ledger;
 pub mod message;
@@ -27,6 +29,8 @@
 pub use account::Account;
 pub use config::{BadConfig, Config, Contested, FunctionSpec, Terms};
 pub use count::{Counted, Counts};
+pub use invariants::{Invariants, Violation};
+pub use ledger::guards::Denied;
 pub use ledger::Front;
 pub use message::{Answer, Call, CallId, Command, Found, Input, Listed, OrderId, Shape, Why};
 pub use outcome::{NeverRan, Note, Report, Seen, Stage, Told};
--- a/decide/front/src/message.rs
+++ b/decide/front/src/message.rs
@@ -64,6 +64,9 @@
     /// It names a class or a tenant that the settings don't know.
     #[serde(default)]
     pub unlisted: bool,
+    /// How long it may have waited already before it was read, microseconds: its time counts from its last byte.
+    #[serde(default)]
+    pub waited: Span,
 }
 
 /// One line of a list of workers.
--- a/decide/front/tests/count.rs
+++ b/decide/front/tests/count.rs
@@ -57,6 +57,7 @@
             repeat: false,
             shape: None,
             unlisted: false,
+            waited: 0,
         };
         front.step(Time(now), Input::Call(call), &mut out);
         let mut todo: VecDeque<Command> = out.drain(..).collect();
--- /dev/null
+++ b/decide/front/tests/invariants.rs
@@ -0,0 +1,133 @@
+//! The check at run time counts each rule that does not hold, and nothing else.
+
+use tansy_front::{CallId, Invariants, Violation};
+use tansyrouter::{Effect, Group, Span, Time, SECOND};
+
+const CALL: CallId = CallId(1);
+const MS: Span = 1000;
+const WINDOW: Span = SECOND;
+
+/// A check that watches one call of 2 s, taken at 0.
+fn watching(effect: Effect) -> Invariants {
+    let mut check = Invariants::default();
+    check.taken(CALL, effect, Time(2 * SECOND));
+    check
+}
+
+fn sent(check: &mut Invariants, at: Span) -> Vec<Violation> {
+    check.sent(Time(at), CALL, "w", SECOND / 2)
+}
+
+/// What was counted, without what was not.
+fn counted(check: &Invariants) -> Vec<(Violation, u64)> {
+    check.counts().filter(|c| c.1 > 0).collect()
+}
+
+#[test]
+fn a_call_in_good_order_violates_nothing_and_is_let_go_of() {
+    let mut check = watching(Effect::Unsafe);
+    assert!(sent(&mut check, MS).is_empty());
+    check.ended(CALL, true);
+    assert!(sent(&mut check, 2 * MS).is_empty());
+    assert!(check.answered(CALL).is_empty());
+    check.ended(CALL, false);
+    assert!(check.closed(CALL).is_empty());
+    assert_eq!((check.total(), check.watched()), (0, 0));
+}
+
+#[test]
+fn two_attempts_at_once_are_counted() {
+    let mut check = watching(Effect::Safe);
+    sent(&mut check, MS);
+    assert_eq!(sent(&mut check, 2 * MS), [Violation::TwoAttempts]);
+    assert_eq!(counted(&check), [(Violation::TwoAttempts, 1)]);
+}
+
+#[test]
+fn an_unsafe_call_sent_again_after_it_may_have_run_is_counted() {
+    for (effect, wanted) in [(Effect::Unsafe, 1), (Effect::Safe, 0)] {
+        let mut check = watching(effect);
+        sent(&mut check, MS);
+        check.ended(CALL, false);
+        sent(&mut check, 2 * MS);
+        assert_eq!(check.total(), wanted, "{effect:?}");
+    }
+}
+
+#[test]
+fn a_keyed_call_sent_again_after_its_window_is_counted() {
+    let keyed = Effect::Keyed { group: Group::All, window: WINDOW };
+    for (at, wanted) in [(MS + WINDOW - 1, vec![]), (MS + WINDOW, vec![Violation::RepeatedLate])] {
+        let mut check = watching(keyed);
+        sent(&mut check, MS);
+        // The window runs from the moment the first attempt left, not from its end.
+        check.ended(CALL, false);
+        assert_eq!(sent(&mut check, at), wanted);
+    }
+}
+
+#[test]
+fn an_attempt_after_the_calls_end_is_counted() {
+    let mut check = watching(Effect::Safe);
+    check.answered(CALL);
+    assert_eq!(sent(&mut check, MS), [Violation::SentAfterEnd], "answered, and forgotten");
+    let mut check = watching(Effect::Safe);
+    sent(&mut check, MS);
+    check.gone(Time(2 * MS), CALL);
+    assert_eq!(check.watched(), 1, "its attempt is out");
+    assert!(!sent(&mut check, 50 * MS).contains(&Violation::SentAfterEnd), "within the slack");
+    assert!(sent(&mut check, 103 * MS).contains(&Violation::SentAfterEnd));
+}
+
+#[test]
+fn work_for_a_worker_that_drains_is_counted_until_it_is_ready_again() {
+    let mut check = watching(Effect::Safe);
+    check.worker("w", false);
+    assert_eq!(sent(&mut check, MS), [Violation::SentToDrained]);
+    assert_eq!(check.load_sent("w"), [Violation::LoadedAtDrained]);
+    assert!(check.load_sent("another").is_empty());
+    check.worker("w", true);
+    assert!(check.load_sent("w").is_empty());
+    assert_eq!(check.total(), 2);
+}
+
+#[test]
+fn a_worker_told_more_time_than_the_client_has_is_counted() {
+    let left = SECOND;
+    for (patience, wanted) in [(left + 150 * MS, vec![]), (left + 151 * MS, vec![Violation::PatienceTooLong])]
+    {
+        let mut check = watching(Effect::Safe);
+        assert_eq!(check.sent(Time(SECOND), CALL, "w", patience), wanted);
+    }
+}
+
+#[test]
+fn a_second_answer_and_a_close_without_one_are_counted() {
+    let mut check = watching(Effect::Safe);
+    sent(&mut check, MS);
+    assert_eq!(check.closed(CALL), [Violation::ClosedUnanswered]);
+    assert!(check.answered(CALL).is_empty());
+    assert!(check.closed(CALL).is_empty());
+    assert_eq!(check.answered(CALL), [Violation::AnsweredTwice], "its attempt is still out");
+    check.ended(CALL, false);
+    assert_eq!(check.answered(CALL), [Violation::AnsweredTwice], "it is forgotten");
+    assert_eq!(check.total(), 3);
+}
+
+#[test]
+fn what_is_watched_is_bounded_by_what_is_open() {
+    let mut check = Invariants::default();
+    for id in 0..10_000 {
+        let call = CallId(id);
+        check.taken(call, Effect::Safe, Time(SECOND));
+        check.sent(Time(0), call, "w", 0);
+        if id % 2 == 0 {
+            check.answered(call);
+            check.ended(call, false);
+        } else {
+            check.gone(Time(1), call);
+            check.ended(call, true);
+        }
+    }
+    assert_eq!((check.watched(), check.total()), (0, 0));
+}
--- a/decide/front/tests/ledger.rs
+++ b/decide/front/tests/ledger.rs
@@ -141,6 +141,7 @@
                     repeat: false,
                     shape: None,
                     unlisted: false,
+                    waited: 0,
                 };
                 self.step(front, Input::Call(call));
             }
@@ -276,6 +277,7 @@
         repeat: false,
         shape: None,
         unlisted: false,
+        waited: 0,
     })
 }
 
--- a/decide/front/tests/parked.rs
+++ b/decide/front/tests/parked.rs
@@ -21,6 +21,7 @@
         repeat: false,
         shape: None,
         unlisted: false,
+        waited: 0,
     }
 }
 
--- a/decide/front/tests/terms.rs
+++ b/decide/front/tests/terms.rs
@@ -81,6 +81,7 @@
             repeat: false,
             shape: None,
             unlisted,
+            waited: 0,
         });
         (call, self.give(input))
     }
--- a/net/front/src/clients.rs
+++ b/net/front/src/clients.rs
@@ -144,6 +144,7 @@
             repeat,
             shape: None,
             unlisted,
+            waited: 0,
         }
     }
 
--- a/net/platform/src/clients.rs
+++ b/net/platform/src/clients.rs
@@ -2,6 +2,7 @@
 //! turned away within the page's times.
 
 use crate::hub::Hub;
+use crate::reasons::CloseReason;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,8 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tansy_http1::{Limits, Message, Reader};
-use tansy_net_sockets::{socket::Socket, within};
+use tansy_net_sockets::socket::{no_descriptor, Socket};
+use tansy_net_sockets::within;
 use tansy_platform::call::{Asked, BadCall};
 use tansyrouter::Span;
 
@@ -23,6 +25,8 @@
 const FIRST_WITHIN: Duration = Duration::from_millis(2300);
 /// A request is whole so long after its first byte.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2000);
+/// A first request that is found at the end of its time has at least so long to be whole.
+const LEAST_WHOLE: Duration = Duration::from_millis(400);
 /// A connection may be idle for so long: the page's 4 s, and the way of the client's close.
 const IDLE: Duration = Duration::from_millis(5500);
 /// A client takes its answer in this time.
@@ -129,6 +133,8 @@
     next: Cell<u64>,
     shedding: Cell<usize>,
     resting: Cell<bool>,
+    /// Connections may wait in the kernel's queue since then: not all of them were accepted the last time.
+    unaccepted_since: Cell<Option<Instant>>,
     closed: Cell<bool>,
     listener: RefCell<Option<Rc<TcpListener>>>,
     token: Cell<Option<RegistrationToken>>,
@@ -156,6 +162,7 @@
             next: Cell::new(0),
             shedding: Cell::new(0),
             resting: Cell::new(false),
+            unaccepted_since: Cell::new(None),
             closed: Cell::new(false),
             listener: RefCell::new(Some(listener.clone())),
             token: Cell::new(None),
@@ -199,8 +206,17 @@
         true
     }
 
-    /// Accepts what waits, up to a turn's share.
+    /// Accepts what waits, up to a turn's share. What is left waits since the queue was last known to be empty.
     fn accept(self: &Rc<Self>) -> Accepted {
+        let came = self.hub.lag.arrived(Instant::now());
+        let waits_since = self.unaccepted_since.get().unwrap_or(came);
+        let accepted = self.accept_since(waits_since);
+        let left = accepted != Accepted::All;
+        self.unaccepted_since.set(left.then_some(waits_since));
+        accepted
+    }
+
+    fn accept_since(self: &Rc<Self>, waits_since: Instant) -> Accepted {
         let Some(listener) = self.listener.borrow().clone() else { return Accepted::All };
         for _ in 0..ACCEPTS {
             if self.len() >= self.hub.setup.clients + self.shedding.get() && !self.make_room() {
@@ -212,15 +228,17 @@
                     let Ok(socket) = Socket::new(self.hub.spawner.handle(), socket) else {
                         return Accepted::Full;
                     };
-                    self.serve(socket);
+                    self.serve(socket, waits_since);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                // No descriptor left: a readable listener must not turn the loop meanwhile.
+                // A readable listener must not turn the loop meanwhile.
                 Err(e) => {
                     tracing::warn!(error = %e, "accepting rests");
-                    self.make_room();
+                    if no_descriptor(&e) {
+                        self.make_room();
+                    }
                     return Accepted::Full;
                 }
             }
@@ -266,15 +284,16 @@
             self.hub.spawner.spawn(async move {
                 clients.hub.spawner.sleep(REST).await;
                 clients.resting.set(false);
-                if let Some(token) = clients.token.get() {
-                    // Fails only for a source that is not there.
-                    let _ = clients.hub.spawner.handle().enable(&token);
+                let Some(token) = clients.token.get() else { return };
+                if let Err(e) = clients.hub.spawner.handle().enable(&token) {
+                    tracing::warn!(error = %e, "accepting rests on");
+                    clients.rest();
                 }
             });
         }
     }
 
-    fn serve(self: &Rc<Self>, socket: Socket) {
+    fn serve(self: &Rc<Self>, socket: Socket, waits_since: Instant) {
         let id = self.next.get();
         self.next.set(id + 1);
         let client =
@@ -283,8 +302,13 @@
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
         self.hub.spawner.spawn(async move {
-            let socket = Rc::new(socket);
-            Connection { clients: clients.clone(), client: client.clone(), socket }.run().await;
+            let (socket, arrived) = (Rc::new(socket), Cell::new(waits_since));
+            let accepted = Cell::new(Some(waits_since));
+            let connection =
+                Connection { clients: clients.clone(), client: client.clone(), socket, accepted, arrived };
+            let reason = connection.run().await;
+            clients.hub.reasons.closed(reason);
+            tracing::debug!(connection = id, reason = reason.as_str(), "a client's connection is closed");
             if client.shed.get() {
                 clients.shedding.set(clients.shedding.get().saturating_sub(1));
             }
@@ -297,6 +321,10 @@
     clients: Rc<Clients>,
     client: Rc<Client>,
     socket: Rc<Socket>,
+    /// What the kernel held when it was accepted can have come since then; none once that has been read.
+    accepted: Cell<Option<Instant>>,
+    /// The earliest moment at which the last bytes read can have come.
+    arrived: Cell<Instant>,
 }
 
 /// What a request asks for.
@@ -311,7 +339,7 @@
 enum Came {
     Request { wanted: Wanted, keep: bool },
     Bad(BadCall),
-    Gone,
+    Gone(CloseReason),
 }
 
 impl Connection {
@@ -319,82 +347,131 @@
         &self.clients.hub
     }
 
-    async fn run(self) {
+    /// Serves one request after another; why it came to an end.
+    async fn run(self) -> CloseReason {
         let mut reader = Reader::requests(REQUEST);
-        let mut within_first = Some(self.hub().spawner.sleep(FIRST_WITHIN));
+        let mut first = true;
         loop {
-            let came = match within_first.take() {
-                Some(limit) => within(limit, self.request(&mut reader)).await,
-                None => {
-                    // What came before its time is turned away with its request: nothing is held here.
-                    let limit = self.hub().spawner.sleep(IDLE);
-                    let first = poll_fn(|cx| self.poll_read(cx, &mut reader));
-                    if matches!(within(limit, first).await, Some(true)) {
-                        let limit = self.hub().spawner.sleep(WHOLE_WITHIN);
-                        within(limit, self.request(&mut reader)).await
-                    } else {
-                        Some(Came::Gone)
-                    }
-                }
-            };
+            let came = self.next(&mut reader, std::mem::take(&mut first)).await;
             self.client.phase.set(Phase::Busy);
             let (wanted, keep) = match came {
-                Some(Came::Request { wanted, keep }) => (wanted, keep),
-                Some(Came::Gone) => return,
-                Some(Came::Bad(bad)) => return self.turn_away(bad).await,
-                None if reader.is_empty() => return,
-                None => {
-                    return self.turn_away(BadCall { status: 408, what: "a request not whole in time" }).await
-                }
+                Came::Request { wanted, keep } => (wanted, keep),
+                Came::Gone(reason) => return reason,
+                Came::Bad(bad) => return self.turn_away(bad).await,
             };
             self.clients.keep(&self.client);
-            let (status, wait, body) = match wanted {
+            let answer = match wanted {
                 Wanted::Alive => (200, 0, Vec::new()),
-                Wanted::Call(asked, body) => {
-                    let slot = Rc::new(Slot::new(self.socket.clone()));
-                    let call = self.hub().call(asked, body, &slot);
-                    match poll_fn(|cx| slot.poll(cx)).await {
-                        Ok(answer) => answer,
-                        Err(Heard::Nothing | Heard::Gone) => return self.hub().left(call),
-                        Err(Heard::More) => {
-                            self.hub().left(call);
-                            let what = "a further request before the answer to the last";
-                            return self.turn_away(BadCall { status: 400, what }).await;
-                        }
+                Wanted::Call(asked, body) => match self.call(asked, body).await {
+                    Ok(answer) => answer,
+                    Err(Heard::Nothing | Heard::Gone) => return CloseReason::ClientLeft,
+                    Err(Heard::More) => {
+                        let what = "a further request before the answer to the last";
+                        return self.turn_away(BadCall { status: 400, what }).await;
                     }
-                }
+                },
             };
             let keep = keep && !self.clients.closed.get();
-            let extra =
-                if wait > 0 { format!("Retry-After-Ms: {}\r\n", (wait + 999) / 1000) } else { String::new() };
-            let mut out = Vec::new();
-            tansy_http1::answer(&mut out, status, &extra, &body, keep);
-            if !self.write(&out).await {
-                return;
+            if !self.give(answer, keep).await {
+                return CloseReason::NotTaken;
             }
             if !keep {
-                return self.linger().await;
+                self.linger().await;
+                return CloseReason::LastAnswer;
             }
             self.client.phase.set(Phase::Idle);
         }
     }
 
+    /// The next request. The first is whole in its time from the connection's start, a later one from its first byte.
+    async fn next(&self, reader: &mut Reader, first: bool) -> Came {
+        let began = Instant::now();
+        let rest = if first { FIRST_WITHIN } else { IDLE };
+        // What came before its time is turned away with its request: nothing is held here.
+        if !(first && self.first_look(reader)) {
+            let read = poll_fn(|cx| self.poll_read(cx, reader));
+            let read = within(self.hub().spawner.sleep(rest), read).await;
+            if !read.unwrap_or_else(|| self.last_look(reader)) {
+                return Came::Gone(self.why_none(read.is_some(), first));
+            }
+        }
+        let whole = if first { rest.saturating_sub(began.elapsed()).max(LEAST_WHOLE) } else { WHOLE_WITHIN };
+        let limit = self.hub().spawner.sleep(whole);
+        let late = BadCall { status: 408, what: "a request not whole in time" };
+        within(limit, self.request(reader)).await.unwrap_or(Came::Bad(late))
+    }
+
+    /// The guard of closing: a connection is closed for its silence only if the kernel holds nothing of it either. Whether
+    /// it holds something, which is then read.
+    fn last_look(&self, reader: &mut Reader) -> bool {
+        let mut buffer = [0u8; 8 * 1024];
+        let n = self.socket.read_now(&mut buffer).unwrap_or(0);
+        self.take(reader, &buffer[..n]);
+        n > 0
+    }
+
+    /// Reads what came before the connection was accepted, which may be long ago; what comes later is new.
+    fn first_look(&self, reader: &mut Reader) -> bool {
+        let read = self.last_look(reader);
+        self.accepted.set(None);
+        read
+    }
+
+    fn why_none(&self, read: bool, first: bool) -> CloseReason {
+        match (self.client.shed.get(), read, first) {
+            (true, ..) => CloseReason::GaveWay,
+            (_, true, _) => CloseReason::ClientLeft,
+            (_, false, true) => CloseReason::Silent,
+            (_, false, false) => CloseReason::Idle,
+        }
+    }
+
+    /// Has a call answered; an error: what came from the client instead.
+    async fn call(&self, asked: Asked, body: Vec<u8>) -> Result<Final, Heard> {
+        let slot = Rc::new(Slot::new(self.socket.clone()));
+        let call = self.hub().call(asked, body, self.arrived.get(), &slot);
+        let answer = poll_fn(|cx| slot.poll(cx)).await;
+        if answer.is_err() {
+            self.hub().left(call);
+        }
+        self.hub().closes(call);
+        answer
+    }
+
+    /// Writes an answer; whether it was taken.
+    async fn give(&self, (status, wait, body): Final, keep: bool) -> bool {
+        let extra =
+            if wait > 0 { format!("Retry-After-Ms: {}\r\n", (wait + 999) / 1000) } else { String::new() };
+        let mut out = Vec::new();
+        tansy_http1::answer(&mut out, status, &extra, &body, keep);
+        self.write(&out).await
+    }
+
     /// Reads one piece; ready: whether there was one. A connection that is shed has none but what the machine holds.
     fn poll_read(&self, cx: &Context<'_>, reader: &mut Reader) -> Poll<bool> {
+        if self.client.shed.get() {
+            return Poll::Ready(self.last_look(reader));
+        }
         let mut buffer = [0u8; 8 * 1024];
-        let read = if self.client.shed.get() {
-            self.socket.read_now(&mut buffer)
-        } else {
-            *self.client.waker.borrow_mut() = Some(cx.waker().clone());
-            std::task::ready!(self.socket.poll_read(cx, &mut buffer))
-        };
-        let n = read.unwrap_or(0);
-        if n > 0 && reader.is_empty() {
-            self.client.phase.set(Phase::Half(Instant::now()));
+        *self.client.waker.borrow_mut() = Some(cx.waker().clone());
+        let n = std::task::ready!(self.socket.poll_read(cx, &mut buffer)).unwrap_or(0);
+        self.take(reader, &buffer[..n]);
+        Poll::Ready(n > 0)
+    }
+
+    /// Takes bytes that were read.
+    fn take(&self, reader: &mut Reader, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let accepted = self.accepted.get().unwrap_or(now);
+        self.arrived.set(self.hub().lag.arrived(now).min(accepted));
+        if reader.is_empty() {
+            self.client.phase.set(Phase::Half(now));
             self.clients.keep(&self.client);
         }
-        reader.take(&buffer[..n]);
-        Poll::Ready(n > 0)
+        reader.take(bytes);
     }
 
     /// Reads until a request is whole, or can't be one.
@@ -433,7 +510,7 @@
                                 let what = "a request not whole when its place was needed";
                                 return Poll::Ready(Came::Bad(BadCall { status: 408, what }));
                             }
-                            false => return Poll::Ready(Came::Gone),
+                            false => return Poll::Ready(Came::Gone(CloseReason::ClientLeft)),
                         }
                         continue;
                     }
@@ -441,7 +518,7 @@
                 return Poll::Ready(came);
             }
             if !std::task::ready!(self.poll_read(cx, reader)) {
-                return Poll::Ready(Came::Gone);
+                return Poll::Ready(Came::Gone(CloseReason::ClientLeft));
             }
         })
         .await
@@ -475,13 +552,14 @@
         within(self.hub().spawner.sleep(TAKEN_WITHIN), written).await.unwrap_or(false)
     }
 
-    async fn turn_away(&self, bad: BadCall) {
+    async fn turn_away(&self, bad: BadCall) -> CloseReason {
         tracing::debug!(status = bad.status, what = bad.what, "a client is turned away");
         let mut out = Vec::new();
         tansy_http1::answer(&mut out, bad.status, "", bad.what.as_bytes(), false);
         if self.write(&out).await {
             self.linger().await;
         }
+        CloseReason::BadRequest
     }
 
     /// Ends our side, and reads what still comes for a while: closing on unread input would reset the answer away.
--- a/net/platform/src/coordinator.rs
+++ b/net/platform/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator's long poll: one is always out, and what breaks or stalls is asked again soon, from the last event
 //! that came whole.
 
-use crate::hub::{unix_ms, Hub};
+use crate::hub::Hub;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
@@ -87,7 +87,7 @@
     /// Whether there was a later event.
     fn take(&self, updates: &Updates) -> bool {
         let before = self.index();
-        let changes = self.list.borrow_mut().take(updates, unix_ms());
+        let changes = self.list.borrow_mut().take(updates, self.hub.unix.now_ms());
         for (whole, list) in changes {
             self.hub.list(whole, list);
         }
--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -1,18 +1,24 @@
 //! The hub: gives the ledger its inputs and carries out its commands.
 
 use crate::clients::Slot;
-use crate::link::{Conn, Job, Link};
+use crate::connection::Connection;
+use crate::link::Link;
+use crate::reasons::{Reasons, RefusalReason};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tansy_front::{Account, Answer, Call, CallId, Command, Front, Input, OrderId, Seen, Told};
+use std::time::{Duration, Instant};
+use tansy_front::{
+    Account, Answer, Call, CallId, Command, Denied, Front, Input, Invariants, OrderId, Seen, Told, Violation,
+};
+use tansy_net_sockets::clock::UnixClock;
+use tansy_net_sockets::lag::Lag;
 use tansy_net_sockets::Spawner;
 use tansy_platform::call::{Asked, RequestId};
 use tansy_platform::list::Change;
 use tansy_platform::Shapes;
-use tansyrouter::Time;
+use tansyrouter::{Span, Time};
 
 /// Bounds that the configuration gives.
 #[derive(Clone, Debug)]
@@ -67,9 +73,43 @@
     /// Connections that its attempts went out on: an answer there is not a later attempt's.
     used: RefCell<Vec<u64>>,
     /// Where its attempt is.
-    at: RefCell<Option<Rc<Conn>>>,
+    at: RefCell<Option<Rc<Connection>>>,
     /// The answer that the ledger has been told of.
     staged: RefCell<Option<Vec<u8>>>,
+    /// How its last attempt ended.
+    last_end: Cell<Option<Seen>>,
+    /// How long it had waited when it was read, microseconds.
+    waited: Span,
+    taken: Instant,
+}
+
+impl CallIo {
+    /// The request's id, for logs.
+    pub fn request(&self) -> &str {
+        std::str::from_utf8(&self.asked.id).unwrap_or("")
+    }
+}
+
+/// One attempt at a call.
+#[derive(Clone)]
+pub struct Attempt {
+    /// The call.
+    pub call: CallId,
+    /// The attempt's number.
+    pub number: u32,
+    /// What is sent.
+    pub io: Rc<CallIo>,
+}
+
+impl Attempt {
+    /// Its bytes, when its worker has so long for it, microseconds.
+    pub fn encode(&self, setup: &Setup, patience: Span) -> Vec<u8> {
+        let asked = &self.io.asked;
+        let fields = asked.fields(setup.shapes.class(asked.class), (patience / 1000).max(1));
+        let mut bytes = Vec::new();
+        tansy_resp::write(&mut bytes, &[b"fire", &asked.id, fields.as_bytes(), &self.io.body]);
+        bytes
+    }
 }
 
 struct State {
@@ -80,7 +120,7 @@
     calls: HashMap<CallId, Rc<CallIo>>,
     attempts: HashMap<CallId, Rc<CallIo>>,
     open: HashSet<RequestId>,
-    orders: HashMap<OrderId, Rc<Conn>>,
+    orders: HashMap<OrderId, Rc<Connection>>,
     links: HashMap<String, Rc<Link>>,
     addresses: HashMap<String, SocketAddr>,
 }
@@ -100,11 +140,14 @@
     watch: RefCell<Option<Rc<dyn Fn()>>>,
     heard: Cell<bool>,
     state: RefCell<State>,
-}
-
-/// The Unix clock, milliseconds.
-pub fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1e3)
+    /// Whether the loop was held up, and since when.
+    pub lag: Lag,
+    /// The wall clock, as far as starts of workers are told by it.
+    pub unix: UnixClock,
+    /// How often connections were closed, requests refused and attempts repeated, by the reason.
+    pub reasons: Reasons,
+    /// The rules, checked at run time.
+    invariants: RefCell<Invariants>,
 }
 
 impl Hub {
@@ -131,6 +174,10 @@
             watch: RefCell::new(None),
             heard: Cell::new(false),
             state,
+            lag: Lag::new(Instant::now()),
+            unix: UnixClock::new(),
+            reasons: Reasons::default(),
+            invariants: RefCell::default(),
         })
     }
 
@@ -196,6 +243,10 @@
             }
         }
         let list: Vec<_> = changes.into_iter().map(|c| c.listed).collect();
+        for l in &list {
+            tracing::debug!(worker = %l.name, state = l.state, age = ?l.age, "a worker is listed");
+            self.invariants.borrow_mut().worker(&l.name, l.state == 0);
+        }
         let gone: Vec<String> = list.iter().filter(|l| l.state > 1).map(|l| l.name.clone()).collect();
         self.feed(Input::Workers { whole, list });
         let mut s = self.state.borrow_mut();
@@ -209,8 +260,11 @@
         self.state.borrow().open.contains(id)
     }
 
-    /// Takes a call; its answer comes to its slot.
-    pub fn call(self: &Rc<Self>, asked: Asked, body: Vec<u8>, slot: &Rc<Slot>) -> CallId {
+    /// Takes a call that came whole at `arrived`; its answer comes to its slot.
+    pub fn call(self: &Rc<Self>, asked: Asked, body: Vec<u8>, arrived: Instant, slot: &Rc<Slot>) -> CallId {
+        let taken = Instant::now();
+        let waited = Span::try_from(taken.duration_since(arrived).as_micros()).unwrap_or(Span::MAX);
+        let now = self.now();
         let mut s = self.state.borrow_mut();
         s.next_call += 1;
         let id = CallId(s.next_call);
@@ -224,8 +278,11 @@
             repeat: false,
             shape: Some(asked.shape),
             unlisted: false,
+            waited,
         };
         s.open.insert(asked.id);
+        let deadline = now.plus(asked.budget.saturating_sub(waited));
+        let effect = s.front.effect(asked.class);
         let io = CallIo {
             asked,
             body,
@@ -233,19 +290,33 @@
             used: RefCell::new(Vec::new()),
             at: RefCell::new(None),
             staged: RefCell::new(None),
+            last_end: Cell::new(None),
+            waited,
+            taken,
         };
+        tracing::debug!(request = io.request(), call = id.0, waited, "a request is taken");
         s.calls.insert(id, Rc::new(io));
         drop(s);
+        self.invariants.borrow_mut().taken(id, effect, deadline);
         self.feed(Input::Call(call));
         id
     }
 
     /// The client of a call has left.
     pub fn left(self: &Rc<Self>, call: CallId) {
-        self.close(call);
+        self.invariants.borrow_mut().gone(self.now(), call);
+        if let Some(io) = self.close(call) {
+            tracing::debug!(request = io.request(), call = call.0, "the client has left");
+        }
         self.feed(Input::ClientLeft { call });
     }
 
+    /// This side ends a client's connection while its call may be open.
+    pub fn closes(&self, call: CallId) {
+        let violated = self.invariants.borrow_mut().closed(call);
+        self.violated(&violated, call);
+    }
+
     /// Lets go of a call that is owed nothing; its attempt may still be out.
     fn close(&self, call: CallId) -> Option<Rc<CallIo>> {
         let mut s = self.state.borrow_mut();
@@ -282,21 +353,7 @@
 
     fn carry_out(self: &Rc<Self>, command: Command) {
         match command {
-            Command::Open { call, attempt, worker, budget } => {
-                let io = self.state.borrow().calls.get(&call).cloned();
-                let conn = io
-                    .as_ref()
-                    .and_then(|io| self.link(&worker)?.pick_for(self, &io.asked.id, &io.used.borrow()));
-                let Some((io, conn)) = io.zip(conn) else {
-                    let (seen, told) = (Seen::NeverLeft, Told::default());
-                    return self.feed(Input::Ended { call, attempt, seen, told });
-                };
-                io.used.borrow_mut().push(conn.serial());
-                *io.at.borrow_mut() = Some(conn.clone());
-                self.state.borrow_mut().attempts.insert(call, io.clone());
-                let class = self.setup.shapes.class(io.asked.class);
-                conn.fire(&io.asked, class, &io.body, budget, Job { call, attempt });
-            }
+            Command::Open { call, attempt, worker, .. } => self.open(call, attempt, &worker),
             Command::Withdraw { call, attempt } => {
                 let conn = self.attempt(call);
                 if let Some((io, conn)) = conn {
@@ -314,11 +371,7 @@
             }
             // Answers are held whole.
             Command::Pass { .. } => {}
-            Command::Answer { call, answer } => {
-                if let Some(io) = self.close(call) {
-                    finish(&io, answer);
-                }
-            }
+            Command::Answer { call, answer } => self.answer(call, answer),
             Command::Probe { order, worker } => self.order(order, &worker, &["there"]),
             Command::Load { order, worker, function, instances } => {
                 let fields = format!("asset={function},replicas={instances}");
@@ -326,7 +379,7 @@
             }
             Command::Unload { order, worker, function } => {
                 if let Some(conn) = self.link(&worker).and_then(|l| l.pick_for_order(self)) {
-                    conn.tell(&["retire", &function]);
+                    conn.tell(&[b"retire", function.as_bytes()]);
                 }
                 // There is no answer to it.
                 let (seen, told) = (Seen::NeverLeft, Told::default());
@@ -365,7 +418,57 @@
         }
     }
 
-    fn attempt(&self, call: CallId) -> Option<(Rc<CallIo>, Rc<Conn>)> {
+    /// Sends an attempt on a connection to its worker.
+    fn open(self: &Rc<Self>, call: CallId, number: u32, worker: &str) {
+        let io = self.state.borrow().calls.get(&call).cloned();
+        let connection = io.as_ref().and_then(|io| {
+            let link = self.link(worker)?;
+            let used = io.used.borrow();
+            link.pick_for(self, &io.asked.id, &used)
+        });
+        let Some((io, connection)) = io.zip(connection) else {
+            let (seen, told) = (Seen::NeverLeft, Told::default());
+            return self.feed(Input::Ended { call, attempt: number, seen, told });
+        };
+        if let Some(last) = io.last_end.get() {
+            self.reasons.repeated(last);
+            tracing::debug!(request = io.request(), attempt = number, %worker, last = %last, "a request is repeated");
+        }
+        io.used.borrow_mut().push(connection.serial());
+        *io.at.borrow_mut() = Some(connection.clone());
+        self.state.borrow_mut().attempts.insert(call, io.clone());
+        connection.fire(Attempt { call, number, io });
+    }
+
+    /// Gives a call's client its final answer.
+    fn answer(&self, call: CallId, answer: Answer) {
+        let violated = self.invariants.borrow_mut().answered(call);
+        self.violated(&violated, call);
+        let Some(io) = self.close(call) else { return };
+        let after_ms = io.taken.elapsed().as_millis() as u64;
+        let (last, attempts) = (io.last_end.get(), io.used.borrow().len());
+        if let Answer::Refused { .. } = answer {
+            let reason = RefusalReason::of(attempts, io.waited, io.asked.budget);
+            self.reasons.refused(reason);
+            let reason = reason.as_str();
+            tracing::debug!(request = io.request(), reason, attempts, ?last, after_ms, "refused");
+        } else {
+            tracing::debug!(request = io.request(), ?answer, attempts, ?last, after_ms, "answered");
+        }
+        finish(&io, answer);
+    }
+
+    fn violated(&self, violations: &[Violation], call: CallId) {
+        for violation in violations {
+            tracing::error!(?violation, call = call.0, "a rule does not hold: a defect of this program");
+        }
+    }
+    /// Violations of the rules that were counted.
+    pub fn violations(&self) -> u64 {
+        self.invariants.borrow().total()
+    }
+
+    fn attempt(&self, call: CallId) -> Option<(Rc<CallIo>, Rc<Connection>)> {
         let io = self.state.borrow().attempts.get(&call).cloned()?;
         let conn = io.at.borrow().clone()?;
         Some((io, conn))
@@ -374,7 +477,7 @@
     fn link(self: &Rc<Self>, worker: &str) -> Option<Rc<Link>> {
         let mut s = self.state.borrow_mut();
         let address = *s.addresses.get(worker)?;
-        let link = s.links.entry(worker.to_string()).or_insert_with(|| Link::new(address));
+        let link = s.links.entry(worker.to_string()).or_insert_with(|| Link::new(worker, address));
         Some(link.clone())
     }
 
@@ -387,28 +490,56 @@
         conn.order(order, words);
     }
 
-    /// Whether an attempt may leave now, asked as its bytes are about to: what this machine holds of the client is heard
-    /// first, and a client that has left is the ledger's to know.
-    pub fn may_leave(self: &Rc<Self>, job: Job) -> bool {
-        let io = self.state.borrow().attempts.get(&job.call).cloned();
-        if io.is_some_and(|io| !io.slot.waits()) {
-            self.left(job.call);
-            return false;
+    /// Whether an attempt may be sent now, asked as its bytes are about to leave: what this machine holds of the client is
+    /// heard first, and a client that has left is the ledger's to know.
+    pub fn may_send(self: &Rc<Self>, attempt: &Attempt) -> Result<Span, Denied> {
+        let open = self.state.borrow().calls.contains_key(&attempt.call);
+        if open && !attempt.io.slot.waits() {
+            self.left(attempt.call);
         }
-        self.with_front(|f| f.may_leave(self.now(), job.call, job.attempt))
+        self.with_front(|f| f.may_send(self.now(), attempt.call, attempt.number))
+    }
+    /// An attempt was taken back as it was about to leave.
+    pub fn held_back(self: &Rc<Self>, attempt: &Attempt, denied: Denied) {
+        let reason = denied.as_str();
+        tracing::debug!(request = attempt.io.request(), attempt = attempt.number, reason, "held back");
+        self.attempt_ended(attempt.call, attempt.number, Seen::NeverLeft, Told::default());
+    }
+    /// The first byte of an attempt has left.
+    pub fn sent(&self, now: Time, attempt: &Attempt, worker: &str, patience: Span, connection: u64) {
+        let (request, number) = (attempt.io.request(), attempt.number);
+        tracing::debug!(request, attempt = number, %worker, patience, connection, "sent");
+        let violated = self.invariants.borrow_mut().sent(now, attempt.call, worker, patience);
+        self.violated(&violated, attempt.call);
+    }
+    /// The first byte of an order has left.
+    pub fn order_sent(&self, order: OrderId, worker: &str) {
+        if self.with_front(|f| f.loads(order)) {
+            let violated = self.invariants.borrow_mut().load_sent(worker);
+            for violation in violated {
+                tracing::error!(?violation, order = order.0, %worker, "a rule does not hold: a defect of this program");
+            }
+        }
+    }
+    /// A connection to a worker has ended with so much open on it.
+    pub fn connection_ended(&self, worker: &str, connection: u64, seen: Seen, open: usize) {
+        self.reasons.disconnected(seen);
+        tracing::debug!(%worker, connection, reason = %seen, open, "a connection to a worker has ended");
     }
 
     /// An answer has come for an attempt.
-    pub fn answered(self: &Rc<Self>, job: Job, seen: Seen, told: Told, body: Vec<u8>) {
-        if let Some(io) = self.state.borrow().attempts.get(&job.call) {
-            *io.staged.borrow_mut() = Some(body);
-        }
-        self.attempt_ended(job.call, job.attempt, seen, told);
+    pub fn answered(self: &Rc<Self>, attempt: &Attempt, seen: Seen, told: Told, body: Vec<u8>) {
+        *attempt.io.staged.borrow_mut() = Some(body);
+        self.attempt_ended(attempt.call, attempt.number, seen, told);
     }
     /// An attempt has ended.
     pub fn attempt_ended(self: &Rc<Self>, call: CallId, attempt: u32, seen: Seen, told: Told) {
+        let never_ran = tansy_front::outcome::verdict(seen, &told).outcome.never_ran();
+        self.invariants.borrow_mut().ended(call, never_ran);
         if let Some(io) = self.state.borrow_mut().attempts.remove(&call) {
+            tracing::debug!(request = io.request(), attempt, seen = %seen, never_ran, "an attempt has ended");
             io.at.borrow_mut().take();
+            io.last_end.set(Some(seen));
         }
         self.feed(Input::Ended { call, attempt, seen, told });
     }
--- a/net/platform/src/lib.rs
+++ b/net/platform/src/lib.rs
@@ -3,12 +3,16 @@
 //!
 //! - [`hub`]: carries out what the ledger wants.
 //! - [`clients`]: the listener, and one task for each client's connection.
-//! - [`link`]: the connections to one worker.
+//! - [`link`]: the connections to one worker. [`connection`]: one of them. [`outbox`]: what waits to leave on it.
+//! - [`reasons`]: why connections were closed, requests refused, attempts repeated.
 //! - [`coordinator`]: the poll.
 
 pub mod clients;
+pub mod connection;
 pub mod coordinator;
 pub mod hub;
 pub mod link;
+pub mod outbox;
+pub mod reasons;
 
 pub use hub::{Hub, Setup};
--- a/net/sockets/src/lib.rs
+++ b/net/sockets/src/lib.rs
@@ -1,9 +1,12 @@
 //! Sockets, tasks and time-outs on a calloop loop, one thread: what every protocol of the project stands on.
 
 pub mod clock;
+pub mod interrupt;
+pub mod lag;
 pub mod socket;
 pub mod timers;
 
+use crate::interrupt::Uninterrupted;
 use crate::timers::{Sleep, Timers};
 use calloop::futures::Scheduler;
 use calloop::LoopHandle;
@@ -24,7 +27,7 @@
     /// A spawner for a loop; its executor is inserted there.
     pub fn new(handle: LoopHandle<'static, ()>) -> std::io::Result<Spawner> {
         let (executor, scheduler) = calloop::futures::executor::<()>().map_err(std::io::Error::other)?;
-        let inserted = handle.insert_source(executor, |(), _, _| {});
+        let inserted = handle.insert_source(Uninterrupted(executor), |(), _, _| {});
         inserted.map_err(|e| std::io::Error::other(e.to_string()))?;
         let timers = Timers::new(handle.clone())?;
         Ok(Spawner { handle, scheduler, timers })
--- a/net/sockets/src/socket.rs
+++ b/net/sockets/src/socket.rs
@@ -12,6 +12,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
 
 #[derive(Default)]
 struct Side {
@@ -134,16 +135,46 @@
     }
 }
 
-/// EINPROGRESS, which the standard library has no kind for.
-const IN_PROGRESS: i32 = 115;
-/// ENFILE, EMFILE, ENOMEM, ENOBUFS, EADDRNOTAVAIL: this machine has no room for a socket, whoever is at the other end.
-const NO_ROOM: [i32; 5] = [23, 24, 12, 105, 99];
+/// Between two tries of what may pass.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// A call that is interrupted is made again so often.
+const INTERRUPTIONS: usize = 16;
+/// EINPROGRESS; EALREADY and EISCONN of one that was interrupted and has gone on by itself.
+const GOES_ON: [i32; 3] = [115, 114, 106];
+/// EAGAIN, ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH, ENOBUFS: this machine has no room for a socket, or no
+/// network at the moment, whoever is at the other end.
+const NO_ROOM: [i32; 8] = [11, 12, 23, 24, 99, 100, 101, 105];
+/// EINTR and EADDRINUSE, which pass as well: an earlier process may still serve its last requests at the address.
+const PASSES: [i32; 2] = [4, 98];
+/// ENFILE and EMFILE.
+const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 
-/// Whether an error says that this process or its machine has no room for another socket.
+/// Whether an error says that this process or its machine has no room for another socket, or no network.
 pub fn no_room(e: &io::Error) -> bool {
     e.raw_os_error().is_some_and(|code| NO_ROOM.contains(&code))
 }
 
+/// Whether an error says that there is no descriptor left.
+pub fn no_descriptor(e: &io::Error) -> bool {
+    e.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code))
+}
+
+/// Whether an error at a start may pass by itself.
+pub fn transient(e: &io::Error) -> bool {
+    no_room(e) || e.raw_os_error().is_some_and(|code| PASSES.contains(&code))
+}
+
+/// Tries again what failed with an error that may pass, until it has done so for `within`.
+pub fn retry<T>(within: Duration, mut attempt: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + within;
+    loop {
+        match attempt() {
+            Err(e) if transient(&e) && Instant::now() < until => std::thread::sleep(RETRY_PAUSE),
+            done => return done,
+        }
+    }
+}
+
 impl Socket {
     /// A socket that connects, or has failed to begin: [`Socket::poll_connected`] tells.
     pub fn connect(handle: &LoopHandle<'static, ()>, address: SocketAddr) -> io::Result<Socket> {
@@ -151,11 +182,18 @@
         let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
-        if let Err(e) = socket.connect(&address.into()) {
-            if e.raw_os_error() != Some(IN_PROGRESS) {
-                return Err(e);
+        let goes_on = |e: &io::Error| e.raw_os_error().is_some_and(|code| GOES_ON.contains(&code));
+        let mut begun = socket.connect(&address.into());
+        for _ in 0..INTERRUPTIONS {
+            match &begun {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => begun = socket.connect(&address.into()),
+                _ => break,
             }
         }
+        match begun {
+            Err(e) if !goes_on(&e) => return Err(e),
+            _ => {}
+        }
         Socket::new(handle, TcpStream::from(socket))
     }
     /// Ready once a connection that was begun stands, or has failed.
--- a/net/sockets/src/timers.rs
+++ b/net/sockets/src/timers.rs
@@ -68,6 +68,12 @@
         Sleep { timers: self.clone(), handle }
     }
 
+    /// How long the loop may wait for the next of them.
+    pub fn next_in(&self) -> Option<Duration> {
+        let at = self.armed.get()?;
+        Some(self.instant(at).saturating_duration_since(Instant::now()))
+    }
+
     fn arm(&self, at: i64) {
         self.armed.set(Some(at));
         self.source.as_source_mut().set_deadline(self.instant(at));
--- /dev/null
+++ b/net/sockets/tests/lag.rs
@@ -0,0 +1,61 @@
+//! When what is read can have come: a loop that was held up does not know.
+
+use std::time::{Duration, Instant};
+use tansy_net_sockets::lag::{Lag, MARGIN};
+
+const MS: Duration = Duration::from_millis(1);
+
+#[test]
+fn a_loop_in_time_takes_what_it_reads_as_new() {
+    let start = Instant::now();
+    let lag = Lag::new(start);
+    for turn in 0..10 {
+        let began = start + turn * 100 * MS;
+        lag.turn_begins(began, 100 * MS);
+        let read = began + 100 * MS + MARGIN;
+        assert_eq!(lag.arrived(read), read);
+        lag.turn_ends(began + 99 * MS);
+    }
+}
+
+#[test]
+fn what_is_read_after_a_stop_can_have_come_since_the_turn_began() {
+    let start = Instant::now();
+    let lag = Lag::new(start);
+    lag.turn_begins(start, 50 * MS);
+    let woken = start + 900 * MS;
+    assert_eq!(lag.arrived(woken), start, "in the turn that was stopped");
+    lag.turn_ends(woken);
+    // What that turn was told of is read in the next.
+    lag.turn_begins(woken, Duration::ZERO);
+    assert_eq!(lag.arrived(woken + MS), start, "in the next turn");
+    lag.turn_ends(woken + MS);
+}
+
+#[test]
+fn a_loop_that_has_caught_up_takes_what_it_reads_as_new_again() {
+    let start = Instant::now();
+    let lag = Lag::new(start);
+    lag.turn_begins(start, Duration::ZERO);
+    lag.turn_ends(start + 500 * MS);
+    let mut now = start + 500 * MS;
+    for _ in 0..4 {
+        lag.turn_begins(now, 10 * MS);
+        now += 5 * MS;
+        lag.turn_ends(now);
+    }
+    lag.turn_begins(now, 10 * MS);
+    assert_eq!(lag.arrived(now + MS), now + MS);
+}
+
+#[test]
+fn a_second_stop_before_it_has_caught_up_counts_from_the_first() {
+    let start = Instant::now();
+    let lag = Lag::new(start);
+    lag.turn_begins(start, Duration::ZERO);
+    lag.turn_ends(start + 500 * MS);
+    lag.turn_begins(start + 500 * MS, Duration::ZERO);
+    lag.turn_ends(start + 900 * MS);
+    lag.turn_begins(start + 900 * MS, Duration::ZERO);
+    assert_eq!(lag.arrived(start + 901 * MS), start);
+}
--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -202,7 +202,7 @@
         Some(path) => PathBuf::from(path),
         None => return wrong("EDGE_CONFIG is not set: want the path of the configuration"),
     };
-    let config = match platform::read(&path) {
+    let config = match platform::read_first(&path) {
         Ok(config) => config,
         Err(e) => return wrong(&e),
     };
--- a/programs/gateway/src/platform.rs
+++ b/programs/gateway/src/platform.rs
@@ -12,7 +12,8 @@
 use tansy_net_platform::clients::Clients;
 use tansy_net_platform::coordinator::Coordinator;
 use tansy_net_platform::{Hub, Setup};
-use tansy_net_sockets::socket::{descriptors, listen};
+use tansy_net_sockets::interrupt::Uninterrupted;
+use tansy_net_sockets::socket::{descriptors, listen, retry};
 use tansy_net_sockets::Spawner;
 use tansy_platform::{Config, List};
 use tansyrouter::{Span, Time};
@@ -23,6 +24,8 @@
 const LEAST_DEADLINE: Span = 3_000_000;
 /// ... and its kill comes so much later; what is open is answered well before.
 const GRACE: Duration = Duration::from_millis(400);
+/// At a start what fails for a moment is tried for so long: a front end is to be ready in 30 s.
+const START_WITHIN: Duration = Duration::from_secs(20);
 /// How often connections to workers are looked over.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How often the totals are logged.
@@ -35,7 +38,17 @@
 /// Reads the configuration; the error says what is wrong with it.
 pub fn read(path: &Path) -> Result<Config, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+    parse(path, &text)
+}
+
+/// Reads the configuration at a start, when no descriptor may be left for a moment.
+pub fn read_first(path: &Path) -> Result<Config, String> {
+    let text = retry(START_WITHIN, || std::fs::read_to_string(path));
+    parse(path, &text.map_err(|e| format!("{}: {e}", path.display()))?)
+}
+
+fn parse(path: &Path, text: &str) -> Result<Config, String> {
+    Config::read(text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
 /// Signals to this process: from here on they wait to be taken up, and end nothing by themselves.
@@ -44,10 +57,20 @@
 impl Signals {
     /// Before all else, so that none comes too early.
     pub fn new() -> Result<Signals, Error> {
-        Ok(Signals(Source::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?))
+        let source = retry_loop(|| Source::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]))?;
+        Ok(Signals(source))
     }
 }
 
+/// As [`retry`], of what the loop library makes.
+fn retry_loop<T>(mut make: impl FnMut() -> calloop::Result<T>) -> Result<T, Error> {
+    let made = retry(START_WITHIN, || match make() {
+        Err(calloop::Error::IoError(e)) => Err(e),
+        done => Ok(done),
+    })?;
+    Ok(made?)
+}
+
 /// What signals have asked for.
 #[derive(Default)]
 struct Asked {
@@ -75,8 +98,8 @@
 impl Platform {
     /// Listens, and begins to follow the list.
     pub fn start(config: &Config) -> Result<Platform, Error> {
-        let event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
-        let spawner = Spawner::new(event_loop.handle())?;
+        let event_loop: EventLoop<'static, ()> = retry_loop(EventLoop::try_new)?;
+        let spawner = retry(START_WITHIN, || Spawner::new(event_loop.handle()))?;
         let settings = tansy_conf::settings(&config.settings).map_err(|e| format!("settings: {e}"))?;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).max(LEAST_DEADLINE);
         let front = tansy_front::Config {
@@ -88,7 +111,8 @@
             longest,
             seed: config.seed(),
         };
-        let listener = listen(config.listen, false).map_err(|e| format!("listen {}: {e}", config.listen))?;
+        let listener = retry(START_WITHIN, || listen(config.listen, false))
+            .map_err(|e| format!("listen {}: {e}", config.listen))?;
         let address = listener.local_addr()?;
         let front = Front::new(front, Time(0))?;
         // The machine's bound goes before the stated one where it is lower.
@@ -106,7 +130,8 @@
                 if told.elapsed() >= TOTALS_EVERY {
                     told = Instant::now();
                     let (account, open) = looks.account();
-                    tracing::info!(%account, open, held = ?looks.held(), "totals");
+                    let (violations, reasons) = (looks.violations(), &looks.reasons);
+                    tracing::info!(%account, open, violations, %reasons, held = ?looks.held(), "totals");
                 }
             }
         });
@@ -134,8 +159,11 @@
     /// One turn of the loop, at most so long.
     pub fn turn(&mut self, most: Duration) -> Result<(), Error> {
         let sleep = self.hub.sleep().map_or(most, |s| s.min(most));
+        let next = self.hub.spawner.timers().next_in().map_or(sleep, |t| t.min(sleep));
+        self.hub.lag.turn_begins(Instant::now(), next);
         self.event_loop.dispatch(Some(sleep), &mut ())?;
         self.hub.tick();
+        self.hub.lag.turn_ends(Instant::now());
         Ok(())
     }
 
@@ -158,10 +186,11 @@
     pub fn run(mut self, path: &Path, signals: Signals) -> Result<String, Error> {
         let asked = Rc::new(Asked::default());
         let told = asked.clone();
-        let inserted = self.event_loop.handle().insert_source(signals.0, move |event, _, ()| {
-            let flag = if event.signal() == Signal::SIGHUP { &told.reload } else { &told.stop };
-            flag.set(true);
-        });
+        let inserted =
+            self.event_loop.handle().insert_source(Uninterrupted(signals.0), move |event, _, ()| {
+                let flag = if event.signal() == Signal::SIGHUP { &told.reload } else { &told.stop };
+                flag.set(true);
+            });
         inserted.map_err(|e| e.to_string())?;
         let mut reload = Reload { path: path.to_path_buf(), due: None, left: 0 };
         tracing::info!(listen = %self.address, index = self.coordinator.index(), "serving");
@@ -206,6 +235,8 @@
             self.turn_and_reload(Duration::from_millis(20), asked, reload)?;
         }
         let (account, open) = self.hub.account();
-        Ok(format!("{account} open={open}"))
+        let violations = self.hub.violations();
+        tracing::info!(%account, open, violations, reasons = %self.hub.reasons, "stopped");
+        Ok(format!("{account} open={open} violations={violations}"))
     }
 }
