Failing tests: a seat's disk that fails for a while, logs that nobody reads

Also added, passing: starts under ENOBUFS, ENFILE and EINTR, a start while the process before still has the address, and the age of a worker's start under a wall clock stepped by an hour.

--- a/programs/fleet/tests/fleet.rs
+++ b/programs/fleet/tests/fleet.rs
@@ -49,7 +49,12 @@
     }
 
     fn run(&mut self, n: usize) {
+        self.run_with(n, |_| {});
+    }
+
+    fn run_with(&mut self, n: usize, more: impl FnOnce(&mut Command)) {
         let mut command = Command::new(gateway());
+        more(&mut command);
         command.arg("--settings").arg(self.folder.join("a.cue"));
         command.args(["--name", &format!("f{n}"), "--peers", &self.addresses[n].to_string()]);
         command.args(["--listen", "127.0.0.1:0", "--http", "127.0.0.1:0", "--log", "off"]);
@@ -211,6 +216,39 @@
     assert_eq!(code, 0, "{done}");
 }
 
+#[test]
+fn a_seat_whose_disk_fails_for_a_while_goes_on_by_itself() {
+    // The one seat's writes and syncs fail from its sixth second to its ninth.
+    const FAILS: std::ops::Range<u64> = 6..9;
+    let mut fleet = Fleet::start("disk", 3, 106);
+    fleet.found();
+    fleet.kill(0);
+    let shim = tansy_soak::shim::build(&fleet.folder).expect("the shim builds");
+    let rules = ["write:ENOSPC", "sync:EIO"].map(|r| format!("{r}:from={}:until={}", FAILS.start, FAILS.end));
+    let began = Instant::now();
+    fleet.run_with(0, |command| {
+        command.env("LD_PRELOAD", &shim).env("FAULT_RULES", rules.join(";"));
+    });
+    fleet.found();
+    while began.elapsed() < Duration::from_secs(FAILS.start) + Duration::from_millis(300) {
+        fleet.ask(&["status"]);
+    }
+    // What is taken on while the disk fails is still owed.
+    let shorter = fleet.file("b.cue", "window: 30s", "window: 20s");
+    let (code, asked) = fleet.ask(&["propose", &shorter, "--wait", "0.5", "--id", "5"]);
+    assert_eq!(code, 4, "it is asked for and not in force yet: {asked}");
+    fleet.until(|s| {
+        let fronts = s["fronts"].as_array().cloned().unwrap_or_default();
+        fronts.len() == 3 && fronts.iter().all(|f| f["version"] == 2)
+    });
+    let (code, again) = fleet.ask(&["propose", &shorter, "--id", "5"]);
+    assert_eq!((code, again["version"].as_u64()), (0, Some(2)), "{again}");
+    // And what was told in force is there after a kill.
+    fleet.kill(0);
+    fleet.run(0);
+    fleet.until(|s| s["fronts"].as_array().is_some_and(|f| f.iter().any(|f| f["version"] == 2)));
+}
+
 #[test]
 fn two_fleets_wired_to_each_other_stay_two() {
     let north = Fleet::start("north", 2, 103);
--- a/programs/gateway/tests/platform/faults.rs
+++ b/programs/gateway/tests/platform/faults.rs
@@ -120,3 +120,98 @@
         }
     }
 }
+
+#[test]
+fn a_start_bears_what_accept_bears() {
+    let worker = plain();
+    let site = Site::of(&[&worker]);
+    for rules in
+        ["socket:ENOBUFS:first=3", "socket:ENFILE:first=1", "read:EINTR:rate=0.5", "socket:EINTR:first=1"]
+    {
+        let address = free();
+        let mut program = Program::spawn_under(&site, address, rules);
+        program.serves();
+        let mut client = Client::to(address);
+        client.send(&call(1).text());
+        assert_eq!(client.answer().map(|a| a.0), Some(200), "{rules}");
+        program.signal(Signal::TERM);
+        assert_eq!(program.ends(), Some(0), "{rules}");
+    }
+}
+
+#[test]
+fn a_start_waits_for_the_process_before_it_to_leave_the_address() {
+    let worker = plain();
+    let site = Site::of(&[&worker]);
+    let mut before = Program::start(&site);
+    let mut after = Program::spawn(site.file(&before.address.to_string()), before.address);
+    // It has come as far as the address, which is in use.
+    until("it waits", || after.takes_signals() && after.state() == "S");
+    before.signal(Signal::TERM);
+    assert_eq!(before.ends(), Some(0));
+    after.serves();
+    after.signal(Signal::TERM);
+    assert_eq!(after.ends(), Some(0));
+}
+
+#[test]
+fn logs_that_nobody_reads_do_not_stop_service() {
+    let worker = plain();
+    let address = free();
+    let path = Site::of(&[&worker]).file(&address.to_string());
+    let mut logs = None;
+    let mut program = Program::spawn_with(path, address, |command| {
+        let (read, write) = std::io::pipe().unwrap();
+        command.args(["--log", "debug"]).stderr(write);
+        // Open, and never read.
+        logs = Some(read);
+    });
+    program.serves();
+    let mut client = Client::to(address);
+    // Each call is worth some hundred bytes of logs; a pipe holds 64 KiB.
+    for id in 1..=600 {
+        client.send(&call(id).text());
+        assert_eq!(client.answer().map(|a| a.0), Some(200), "call {id}");
+    }
+    program.signal(Signal::TERM);
+    assert_eq!(program.ends(), Some(0));
+    drop(logs);
+}
+
+#[test]
+fn a_stepped_wall_clock_makes_no_worker_older() {
+    for by in [3600, -3600] {
+        let worker = plain();
+        let mut source = Source::start();
+        let site = Site { coordinator: source.address, ..Site::of(&[&worker]) };
+        let address = free();
+        let (logs, write) = std::io::pipe().unwrap();
+        let rules = format!("clock:STEP:from=0.3:by={by}");
+        let mut program = Program::spawn_under_with(&site, address, &rules, |command| {
+            command.args(["--log", "debug"]).stderr(write);
+        });
+        program.serves();
+        let began = Instant::now();
+        let mut on = None;
+        until("it polls after the step", || {
+            on = source.look().or(on);
+            began.elapsed() > Duration::from_millis(500) && on.is_some()
+        });
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+        let event = format!(
+            r#"{{"index":2,"updates":[{{"index":2,"endpoints":{{"servers":[{{"id":"s-9","addr":"{}","state":"Ready",
+            "zone":"a","kind":"k","weight":1,"started_ms":{now}}}]}}}}]}}"#,
+            worker.address
+        );
+        source.try_reply(on.unwrap(), &event);
+        let mut lines = std::io::BufRead::lines(std::io::BufReader::new(logs)).map_while(Result::ok);
+        let line = lines.find(|l| l.contains("is listed") && l.contains("s-9")).expect("it is listed");
+        let age: i64 = line.split("age=Some(").nth(1).unwrap().split(')').next().unwrap().parse().unwrap();
+        assert!(
+            (0..2_000_000).contains(&age),
+            "a worker that started now is {age} us old, clock stepped by {by} s"
+        );
+        program.signal(Signal::TERM);
+        assert_eq!(program.ends(), Some(0));
+    }
+}
--- a/programs/gateway/tests/platform/process.rs
+++ b/programs/gateway/tests/platform/process.rs
@@ -61,8 +61,19 @@
 
     /// Started with these faults of its system calls (`tests/fault-shim`).
     pub fn spawn_under(site: &Site, address: SocketAddr, rules: &str) -> Program {
+        Program::spawn_under_with(site, address, rules, |_| {})
+    }
+
+    /// The same, with more on its command line or in its environment.
+    pub fn spawn_under_with(
+        site: &Site,
+        address: SocketAddr,
+        rules: &str,
+        more: impl FnOnce(&mut Command),
+    ) -> Program {
         Program::spawn_with(site.file(&address.to_string()), address, |command| {
             command.env("LD_PRELOAD", shim()).env("FAULT_RULES", rules).env("FAULT_SEED", "7");
+            more(command);
         })
     }
 
