A seat's disk that fails is tried again; logs never stop the loop

With writes and syncs failing for 3 s the seat told Refusal::Disk and refused all until it was started again. With standard error open and unread the 111th call got no answer, nor did any after it. Checked: the store itself recovers when its file is opened anew (state/tests/disk.rs), so the end lay with Disk::open's thread (returned at its first error) and, above it, Seats::held. For logs by reading: tracing writes to standard error on the thread that has the event; the pipe holds 64 KiB, some 590 bytes for each of 111 calls. Change: RetryingRecords opens the file anew after an error and reads what of the record is held, so that each is held once; the thread tries until it is taken, 20 ms to 1 s apart, and the seat sees a slow disk. Errors that do not pass end it as before. LossyStderr asks the kernel before each piece and drops, counted, what would have to wait.

--- a/programs/gateway/src/cli.rs
+++ b/programs/gateway/src/cli.rs
@@ -1,6 +1,7 @@
 //! The program's arguments, logs and exit codes.
 
 use crate::fleet::Place;
+use crate::logs::LossyStderr;
 use crate::{platform, Error, Gateway, Options, EMBEDDED};
 use clap::{Parser, ValueEnum};
 use std::ffi::OsString;
@@ -95,7 +96,7 @@
     };
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(LossyStderr::new)
         .with_ansi(std::io::stderr().is_terminal());
     match a.logs {
         Logs::Plain => logs.init(),
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod fleet;
+pub mod logs;
 pub mod platform;
 
 use calloop::signals::{Signal, Signals};
--- a/state/src/store.rs
+++ b/state/src/store.rs
@@ -70,6 +70,13 @@
 }
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Whether the same may be taken later: a disk that is full or fails, another process that has the file yet.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, Error::File(_) | Error::Used)
+    }
+}
+
 impl<E: Into<redb::Error>> From<E> for Error {
     fn from(e: E) -> Error {
         match e.into() {
--- a/state/tests/disk.rs
+++ b/state/tests/disk.rs
@@ -2,7 +2,7 @@
 
 use redb::StorageBackend;
 use std::sync::{Arc, Mutex};
-use tansy_state::seat::{Held, Records};
+use tansy_state::seat::{Held, Records, RetryingRecords};
 use tansy_state::store::{Error, Store};
 
 #[derive(Debug, Default)]
@@ -13,6 +13,22 @@
     now: Vec<u8>,
     writes: Vec<(usize, Vec<u8>)>,
     room: Option<usize>,
+    /// So many writes and syncs fail, after so many more that do not.
+    failures: u32,
+    in_calls: u32,
+}
+
+impl Inner {
+    /// Whether this write or sync fails.
+    fn fails(&mut self) -> bool {
+        if self.in_calls > 0 {
+            self.in_calls -= 1;
+            return false;
+        }
+        let fails = self.failures > 0;
+        self.failures = self.failures.saturating_sub(1);
+        fails
+    }
 }
 
 /// A disk in memory.
@@ -47,6 +63,9 @@
     }
     fn sync_data(&self) -> Io<()> {
         let mut disk = self.0.lock().unwrap();
+        if disk.fails() {
+            return Err(std::io::Error::from_raw_os_error(5));
+        }
         disk.synced = disk.now.clone();
         disk.writes.clear();
         Ok(())
@@ -54,6 +73,9 @@
     fn write(&self, offset: u64, data: &[u8]) -> Io<()> {
         let mut disk = self.0.lock().unwrap();
         let from = offset as usize;
+        if disk.fails() {
+            return Err(full());
+        }
         if disk.room.is_some_and(|r| from + data.len() > r) {
             return Err(full());
         }
@@ -184,3 +206,51 @@
     assert!(matches!(refused, Error::Newer { found: 7 }), "{refused}");
     assert!(refused.to_string().contains("start the later program"));
 }
+
+#[test]
+fn a_disk_that_fails_for_a_while_holds_each_record_once_and_in_order() {
+    for seed in 0..60 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let disk = Disk::default();
+        let again = disk.clone();
+        let open = move || Store::on(again.clone()).map(Records::of);
+        let (mut records, _) = RetryingRecords::with(Box::new(open)).expect("a store");
+        let mut told = Held::default();
+        for n in 0..120u64 {
+            let record = n.to_be_bytes().to_vec();
+            let whole = (n % 37 == 36).then(|| format!("whole {n}").into_bytes());
+            // Some of its next writes and syncs fail, each a few times.
+            if rng.u32(0..4) == 0 {
+                disk.0.lock().unwrap().failures = rng.u32(1..6);
+                disk.0.lock().unwrap().in_calls = rng.u32(0..12);
+            }
+            let mut tries = 0;
+            while let Err(e) = records.hold(&record, whole.as_deref()) {
+                assert!(e.may_pass(), "seed {seed}: {e}");
+                tries += 1;
+                assert!(tries < 100, "seed {seed}: {e}");
+            }
+            match whole {
+                Some(whole) => told = Held { whole: Some(whole), records: Vec::new() },
+                None => told.records.push(record),
+            }
+        }
+        drop(records);
+        let (_, held) = open_after(&disk);
+        assert_eq!(held, told, "seed {seed}");
+    }
+}
+
+/// What a disk holds that fails no more.
+fn open_after(disk: &Disk) -> (Records, Held) {
+    disk.0.lock().unwrap().failures = 0;
+    open(disk)
+}
+
+#[test]
+fn what_does_not_pass_is_not_tried_again() {
+    let large = Error::Large { bytes: 1 };
+    let gap = Error::Gap { wanted: 1, found: 3 };
+    assert!(!large.may_pass() && !gap.may_pass());
+    assert!(Error::Used.may_pass());
+}
