--- a/programs/fleet/tests/fleet.rs
+++ b/programs/fleet/tests/fleet.rs
@@ -223,11 +223,10 @@
     let mut fleet = Fleet::start("disk", 3, 106);
     fleet.found();
     fleet.kill(0);
-    let shim = tansy_soak::shim::build(&fleet.folder).expect("the shim builds");
     let rules = ["write:ENOSPC", "sync:EIO"].map(|r| format!("{r}:from={}:until={}", FAILS.start, FAILS.end));
     let began = Instant::now();
     fleet.run_with(0, |command| {
-        command.env("LD_PRELOAD", &shim).env("FAULT_RULES", rules.join(";"));
+        command.env("LD_PRELOAD", tansy_soak::shim::library()).env("FAULT_RULES", rules.join(";"));
     });
     fleet.found();
     assert!(began.elapsed() < Duration::from_secs(FAILS.start), "too slow for this test");
--- a/programs/gateway/tests/platform/process.rs
+++ b/programs/gateway/tests/platform/process.rs
@@ -4,9 +4,8 @@
 use crate::stage::{until, Client, Site};
 use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
 
 /// A front end's process; it ends with the value.
 pub struct Program {
@@ -23,14 +22,6 @@
     }
 }
 
-/// The library that has system calls fail, built once.
-fn shim() -> &'static Path {
-    static SHIM: OnceLock<PathBuf> = OnceLock::new();
-    SHIM.get_or_init(|| {
-        tansy_soak::shim::build(Path::new(env!("CARGO_TARGET_TMPDIR"))).expect("the shim builds")
-    })
-}
-
 /// An address at which nobody listens.
 pub fn free() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -72,7 +63,10 @@
         more: impl FnOnce(&mut Command),
     ) -> Program {
         Program::spawn_with(site.file(&address.to_string()), address, |command| {
-            command.env("LD_PRELOAD", shim()).env("FAULT_RULES", rules).env("FAULT_SEED", "7");
+            command
+                .env("LD_PRELOAD", tansy_soak::shim::library())
+                .env("FAULT_RULES", rules)
+                .env("FAULT_SEED", "7");
             more(command);
         })
     }
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -36,8 +36,6 @@
 pub struct Options {
     /// The program of the front end.
     pub gateway: PathBuf,
-    /// The library that has system calls fail.
-    pub shim: PathBuf,
     /// What is drawn.
     pub seed: u64,
     /// Front ends.
@@ -80,7 +78,6 @@
     let folder = process::folder(options.seed)?;
     let launch = Arc::new(Launch {
         gateway: options.gateway.clone(),
-        shim: options.shim.clone(),
         folder: folder.clone(),
         connect_timeout_s: if random.bool() { 0.25 } else { 1.3 },
         front_ends: options.front_ends,
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tansy_soak::{run, shim, Options};
+use tansy_soak::{run, Options};
 
 /// Randomized faults over real front-end processes on loopback, judged by invariants.
 ///
@@ -39,10 +39,6 @@
 
 fn main() -> ExitCode {
     let a = Arguments::parse();
-    let shim = match shim::build(&std::env::temp_dir()) {
-        Ok(shim) => shim,
-        Err(e) => return unplayable(&e),
-    };
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return unplayable(&e.to_string()),
@@ -51,7 +47,6 @@
     for seed in a.seed..a.seed + a.runs {
         let options = Options {
             gateway: a.gateway.clone(),
-            shim: shim.clone(),
             seed,
             front_ends: a.front_ends,
             workers: a.workers,
@@ -63,7 +58,6 @@
             Err(e) => return unplayable(&e.to_string()),
         }
     }
-    let _ = std::fs::remove_file(shim);
     if held {
         ExitCode::SUCCESS
     } else {
--- a/tests/soak/src/process.rs
+++ b/tests/soak/src/process.rs
@@ -3,6 +3,7 @@
 use crate::clients::{Door, Doors};
 use crate::discovery::{Discovery, Feed};
 use crate::facts::{Fact, Facts, Place, Signal};
+use crate::shim;
 use crate::site::Site;
 use rustix::process::{kill_process, Pid};
 use std::fs::File;
@@ -28,8 +29,6 @@
 pub struct Launch {
     /// The program.
     pub gateway: PathBuf,
-    /// The library that has system calls fail.
-    pub shim: PathBuf,
     /// Where configurations and logs go.
     pub folder: PathBuf,
     /// How a connection to a worker is bounded, seconds.
@@ -99,7 +98,7 @@
         let mut child = Command::new(&self.launch.gateway)
             .args(["--platform", "--log", "debug"])
             .env("EDGE_CONFIG", &path)
-            .env("LD_PRELOAD", &self.launch.shim)
+            .env("LD_PRELOAD", shim::library())
             .env("FAULT_RULES", rules)
             .env("FAULT_SEED", seed.to_string())
             .stdout(Stdio::piped())
--- a/tests/soak/src/shim.rs
+++ b/tests/soak/src/shim.rs
@@ -1,22 +1,41 @@
-//! The preloaded library that has system calls fail: built with the compiler alone, once.
+//! The preloaded library that has system calls fail: built with the compiler alone, once for each version of its source.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::OnceLock;
 
-/// Builds the library into a folder and gives its path.
-pub fn build(folder: &Path) -> Result<PathBuf, String> {
+/// Its source.
+const SOURCE: &str = include_str!("../../fault-shim/src/lib.rs");
+
+/// The library's path; it is built at the first call.
+pub fn library() -> &'static Path {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    LIBRARY.get_or_init(|| build(&std::env::temp_dir()).expect("the compiler that built this program"))
+}
+
+/// Builds the library into a folder, unless it is there, and gives its path.
+fn build(folder: &Path) -> Result<PathBuf, String> {
+    let mut hasher = DefaultHasher::new();
+    SOURCE.hash(&mut hasher);
+    let library = folder.join(format!("libtansy_fault_shim-{:016x}.so", hasher.finish()));
+    if library.exists() {
+        return Ok(library);
+    }
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../fault-shim/src/lib.rs");
-    let library = folder.join(format!("libtansy_fault_shim-{}.so", std::process::id()));
+    // Other processes may build it at the same time; it appears whole, by a new name.
+    let own = folder.join(format!("libtansy_fault_shim-{}.building.so", std::process::id()));
     let compiler = std::env::var("RUSTC").unwrap_or_else(|_| "rustc".to_string());
     let output = Command::new(&compiler)
         .args(["--edition", "2021", "--crate-type", "cdylib", "--crate-name", "tansy_fault_shim"])
         .args(["-C", "opt-level=2", "-C", "panic=abort", "-o"])
-        .arg(&library)
+        .arg(&own)
         .arg(&source)
         .output()
         .map_err(|e| format!("{compiler}: {e}"))?;
     if !output.status.success() {
         return Err(String::from_utf8_lossy(&output.stderr).into_owned());
     }
+    std::fs::rename(&own, &library).map_err(|e| e.to_string())?;
     Ok(library)
 }
