The gRPC listener accepts on after an error; all loops bear interrupted reads

Cause: Server::accept returned at any error, and its listener is told by edges, so nobody came for what waited until somebody else came or ended; signals of the gateway, the stand-in worker and tansy-fleet, the ping of the server and the channel of the seat's disk gave an EINTR to the loop, which ended. Checked by reading, beside the tests: what waits is taken up by the next edge or by a connection's end (resume), no other way. Change: interrupted or aborted accepts are tried on, others after 20 ms; all these sources are wrapped (interrupt.rs).

--- a/net/grpc/src/server.rs
+++ b/net/grpc/src/server.rs
@@ -16,6 +16,7 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 use tansy_frames::grpc::{encode_message, frame, Assembler, BadFrame, Code};
+use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::socket::Socket;
 use tansy_net_sockets::{within, Spawner, Yield};
 
@@ -49,6 +50,8 @@
     }
 }
 
+/// After an error of accept the next try comes so much later.
+const REST: Duration = Duration::from_millis(20);
 /// Time for the last frames of a connection that ends.
 const LAST_FRAMES: Duration = Duration::from_secs(1);
 
@@ -62,6 +65,8 @@
     handler: Handler,
     connections: Cell<usize>,
     closing: Cell<bool>,
+    /// After an error of accept, until it is tried again.
+    resting: Cell<bool>,
     cuts: Cell<u64>,
     sheds: Cell<u64>,
     /// Of the connections' drivers, by connection: each is found without a look at the others.
@@ -87,6 +92,7 @@
             handler,
             connections: Cell::new(0),
             closing: Cell::new(false),
+            resting: Cell::new(false),
             cuts: Cell::new(0),
             sheds: Cell::new(0),
             wakers: RefCell::new(HashMap::new()),
@@ -113,6 +119,7 @@
         });
         sources.push(accepts.map_err(|e| inserted(e.to_string()))?);
         let (a, b) = (server.clone(), listener.clone());
+        let pinged = Uninterrupted(pinged);
         let pinged = spawner.handle().insert_source(pinged, move |(), _, ()| a.accept(&b));
         sources.push(pinged.map_err(|e| inserted(e.to_string()))?);
         *server.listens.borrow_mut() = Some((listener, sources));
@@ -162,15 +169,33 @@
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                // The connection died in the queue, or descriptors ran out; the next one may fare better.
+                // The call was interrupted, or the connection died in the queue: the next one may fare better.
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
-                    tracing::warn!(error = %e, "accept failed");
-                    return;
+                    tracing::warn!(error = %e, "accepting rests");
+                    return self.rest();
                 }
             }
         }
     }
 
+    /// Accepts again after a while: the listener is told by edges, and nobody else may come.
+    fn rest(self: &Rc<Self>) {
+        if self.resting.replace(true) {
+            return;
+        }
+        let server = self.clone();
+        self.spawner.spawn(async move {
+            server.spawner.sleep(REST).await;
+            server.resting.set(false);
+            let listener = server.listens.borrow().as_ref().map(|l| l.0.clone());
+            if let Some(listener) = listener {
+                server.accept(&listener);
+            }
+        });
+    }
+
     fn take(self: &Rc<Self>, socket: TcpStream) -> io::Result<()> {
         socket.set_nodelay(true)?;
         let (io, flusher) = ends(Socket::new(self.spawner.handle(), socket)?, None);
--- a/net/peers/src/hub.rs
+++ b/net/peers/src/hub.rs
@@ -21,6 +21,7 @@
 use tansy_fleet_wire::{letter, read, Bad};
 use tansy_net_grpc::link::{Limits as LinkLimits, Link};
 use tansy_net_grpc::server::{Limits, Server};
+use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::socket::descriptors;
 use tansy_net_sockets::{clock, within, Spawner};
 use tansy_peer::{Body, Command, Held, Note, Peer, Refusal};
@@ -202,7 +203,7 @@
         });
         if let Some(done) = done {
             let p = peers.clone();
-            let inserted = spawner.handle().insert_source(done, move |event, _, ()| {
+            let inserted = spawner.handle().insert_source(Uninterrupted(done), move |event, _, ()| {
                 if let Event::Msg(done) = event {
                     p.held(done);
                 }
--- a/programs/fleet/src/client.rs
+++ b/programs/fleet/src/client.rs
@@ -14,6 +14,7 @@
 use tansy_fleet_wire::pb;
 use tansy_net_grpc::link::{Limits, Link};
 use tansy_net_peers::ask::{ask, Failed};
+use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::Spawner;
 
 /// Time for an answer.
@@ -172,7 +173,7 @@
     pub fn on_end(&self, end: Arc<AtomicBool>) -> io::Result<()> {
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
         let told = move |_, _: &mut (), _: &mut ()| end.store(true, Ordering::Relaxed);
-        let inserted = self.event_loop.handle().insert_source(signals, told);
+        let inserted = self.event_loop.handle().insert_source(Uninterrupted(signals), told);
         inserted.map(|_| ()).map_err(|e| io::Error::other(e.to_string()))
     }
 
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 use tansy_net_front::{clients, side, Hub, Names, Setup, Worker};
 use tansy_net_grpc::link::Limits as LinkLimits;
 use tansy_net_grpc::server::{Limits, Server};
+use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::socket::listen;
 use tansy_net_sockets::Spawner;
 use tansy_settings::{Settings, WorkerLine};
@@ -180,7 +181,8 @@
     pub fn run(mut self, ready: impl FnOnce(&Gateway)) -> Result<String, Error> {
         let stop = Rc::new(std::cell::Cell::new(false));
         let (told, signals) = (stop.clone(), Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?);
-        let inserted = self.event_loop.handle().insert_source(signals, move |_, _, ()| told.set(true));
+        let inserted =
+            self.event_loop.handle().insert_source(Uninterrupted(signals), move |_, _, ()| told.set(true));
         inserted.map_err(|e| e.to_string())?;
         ready(&self);
         while !stop.get() {
--- a/programs/worker/src/lib.rs
+++ b/programs/worker/src/lib.rs
@@ -10,6 +10,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::socket::listen;
 use tansy_net_sockets::Spawner;
 use tansy_standin_worker::{Function, Profile, Standin, WhenAbsent};
@@ -132,6 +133,7 @@
     std::io::stdout().flush()?;
     let stop = Rc::new(std::cell::Cell::new(false));
     let (told, signals) = (stop.clone(), Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?);
+    let signals = Uninterrupted(signals);
     event_loop.handle().insert_source(signals, move |_, _, ()| told.set(true)).map_err(|e| e.to_string())?;
     while !stop.get() && !standin.fallen() {
         event_loop.dispatch(Some(Duration::from_millis(500)), &mut ())?;
