--- a/net/sockets/src/lib.rs
+++ b/net/sockets/src/lib.rs
@@ -15,6 +15,14 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+/// The system's error behind one of the loop library, as it came.
+pub fn io_error(error: calloop::Error) -> std::io::Error {
+    match error {
+        calloop::Error::IoError(e) => e,
+        other => std::io::Error::other(other),
+    }
+}
+
 /// Starts tasks on the loop.
 #[derive(Clone)]
 pub struct Spawner {
@@ -26,7 +34,7 @@
 impl Spawner {
     /// A spawner for a loop; its executor is inserted there.
     pub fn new(handle: LoopHandle<'static, ()>) -> std::io::Result<Spawner> {
-        let (executor, scheduler) = calloop::futures::executor::<()>().map_err(std::io::Error::other)?;
+        let (executor, scheduler) = calloop::futures::executor::<()>().map_err(io_error)?;
         let inserted = handle.insert_source(Uninterrupted(executor), |(), _, _| {});
         inserted.map_err(|e| std::io::Error::other(e.to_string()))?;
         let timers = Timers::new(handle.clone())?;
--- a/programs/gateway/src/platform.rs
+++ b/programs/gateway/src/platform.rs
@@ -14,7 +14,7 @@
 use tansy_net_platform::{Hub, Setup};
 use tansy_net_sockets::interrupt::Uninterrupted;
 use tansy_net_sockets::socket::{descriptors, listen, retry};
-use tansy_net_sockets::Spawner;
+use tansy_net_sockets::{io_error, Spawner};
 use tansy_platform::{Config, List};
 use tansyrouter::{Span, Time};
 
@@ -64,11 +64,7 @@
 
 /// As [`retry`], of what the loop library makes.
 fn retry_loop<T>(mut make: impl FnMut() -> calloop::Result<T>) -> Result<T, Error> {
-    let made = retry(START_WITHIN, || match make() {
-        Err(calloop::Error::IoError(e)) => Err(e),
-        done => Ok(done),
-    })?;
-    Ok(made?)
+    Ok(retry(START_WITHIN, || make().map_err(io_error))?)
 }
 
 /// What signals have asked for.
--- /dev/null
+++ b/tests/soak/src/abuse.rs
@@ -0,0 +1,65 @@
+//! Clients that send what can't be read, half of it, too much at once, or nothing: each is owed an answer or a close soon, and
+//! none may be served.
+
+use crate::clients::Doors;
+use crate::facts::{Fact, Facts, Place};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Such a client is answered or closed by then.
+pub const OWED_WITHIN: Duration = Duration::from_secs(3);
+/// It is waited for so much longer than that, to see how late it comes.
+const BEYOND: Duration = Duration::from_secs(2);
+
+/// What one of them sends: never a request in the page's form.
+fn bytes(random: &mut fastrand::Rng) -> Vec<u8> {
+    let head = "POST /ops/0000000000000001/call HTTP/1.1\r\nHost: app.svc\r\nX-Class: safe\r\n";
+    let rest = "X-Request-Id: ffffffffffffffff\r\nX-Timeout-Ms: 900\r\nX-Extras: memory_mb:300;lanes:2\r\n";
+    let text = match random.u32(0..9) {
+        0 => String::new(),
+        1 => head[..random.usize(1..head.len())].to_string(),
+        2 => format!("{head}{rest}Content-Length: 10\r\n\r\nfour"),
+        3 => format!("{head}{rest}Content-Length: -1\r\n\r\n"),
+        4 => format!("{head}{rest}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"),
+        5 => format!("{head}X-Request-Id: none\r\nContent-Length: 0\r\n\r\n"),
+        6 => format!("{head}{}Content-Length: 0\r\n\r\n", rest.replace("900", "1e9")),
+        7 => format!("GET / HTTP/9.9\r\n{}", "x".repeat(random.usize(1..9000))),
+        _ => return (0..random.usize(1..400)).map(|_| random.u8(..)).collect(),
+    };
+    text.into_bytes()
+}
+
+/// Sends such bytes to front ends until the end.
+pub async fn run(facts: Arc<Facts>, doors: Arc<Doors>, mut random: fastrand::Rng, until: Instant) {
+    while Instant::now() < until {
+        sleep(Duration::from_millis(random.u64(10..150))).await;
+        let place = random.usize(0..doors.len());
+        let door = *doors[place].read().expect("not poisoned");
+        if door.open {
+            let bytes = bytes(&mut random);
+            tokio::spawn(one(facts.clone(), place, door.process, door.address, bytes));
+        }
+    }
+}
+
+async fn one(
+    facts: Arc<Facts>,
+    place: Place,
+    process: u64,
+    address: std::net::SocketAddr,
+    bytes: Vec<u8>,
+) -> Option<()> {
+    let mut socket = timeout(OWED_WITHIN, TcpStream::connect(address)).await.ok()?.ok()?;
+    let began = Instant::now();
+    // One that is closed meanwhile has been answered.
+    let _ = socket.write_all(&bytes).await;
+    let mut first = [0u8; 12];
+    let read = timeout(OWED_WITHIN + BEYOND, socket.read(&mut first)).await;
+    let served = matches!(read, Ok(Ok(n)) if first[..n].starts_with(b"HTTP/1.1 200"));
+    let after = read.is_ok().then(|| began.elapsed());
+    facts.note(Fact::Abused { place, process, after, served });
+    Some(())
+}
--- a/tests/soak/src/facts.rs
+++ b/tests/soak/src/facts.rs
@@ -82,6 +82,8 @@
         connection: u64,
         /// The time that the worker was told, milliseconds.
         patience_ms: u64,
+        /// It may have come long before: the kernel had taken its connection while the proxy accepted none.
+        waited: bool,
     },
     /// An attempt ended: the worker's answer was written, it was given up, or its connection ended.
     Ended {
@@ -158,6 +160,17 @@
         /// Its last line on standard output.
         account: String,
     },
+    /// A client that sent what is no request was answered or closed after so long; none: not at all.
+    Abused {
+        /// The front end.
+        place: Place,
+        /// Its number at that place.
+        process: u64,
+        /// How long after it had connected.
+        after: Option<Duration>,
+        /// It was served.
+        served: bool,
+    },
     /// This harness itself ran late by so much: what happened in that time is seen late.
     HarnessLate(Duration),
     /// A trouble began, in words.
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -4,8 +4,9 @@
 //!
 //! - [`facts`]: what was seen. [`oracle`]: the invariants.
 //! - [`plan`]: what goes wrong. [`shim`]: the library that has system calls fail.
-//! - [`process`], [`clients`], [`worker`], [`proxy`], [`discovery`], [`site`]: those who take part.
+//! - [`process`], [`clients`], [`abuse`], [`worker`], [`proxy`], [`discovery`], [`site`]: those who take part.
 
+pub mod abuse;
 pub mod clients;
 pub mod discovery;
 pub mod facts;
@@ -56,6 +57,8 @@
     pub folder: PathBuf,
 }
 
+/// Descriptors that front ends may hold, one figure a run.
+const SOCKETS: [usize; 3] = [100, 160, 400];
 /// How often the harness looks whether it runs in time.
 const LOOK: Duration = Duration::from_millis(5);
 /// Clients go on for so long after the last trouble has begun.
@@ -81,6 +84,7 @@
         folder: folder.clone(),
         connect_timeout_s: if random.bool() { 0.25 } else { 1.3 },
         front_ends: options.front_ends,
+        sockets: SOCKETS[random.usize(0..SOCKETS.len())],
     });
     let mut doors = Vec::new();
     for _ in 0..options.front_ends {
@@ -116,6 +120,7 @@
     tasks.spawn(plan::network(facts.clone(), proxies.clone(), random.fork(), until));
     tasks.spawn(plan::discovery(facts.clone(), discovery.clone(), random.fork(), until));
     tasks.spawn(plan::workers(discovery.clone(), options.workers, random.fork(), until));
+    tasks.spawn(abuse::run(facts.clone(), doors.clone(), random.fork(), until));
     tasks.spawn(plan::crowds(facts.clone(), doors.clone(), random.fork(), until));
     for front in fronts {
         tasks.spawn(plan::processes(front, random.fork(), until + SETTLE));
