A reply of the coordinator may be 4 MiB: the backlog of a long outage is heard

Cause: REPLY in coordinator.rs bounded a reply at 1 MiB, and a poll can't ask for a part of what it missed, so one reply too long was asked for again for ever. An event takes some 190 bytes; a roll of 1,600 of 3,200 workers tells three each, 0.9 MB, and an outage of discovery has them come in one reply. Checked: two such replies at once (one late, one of the next poll) and their events take some 15 MB at the most, by reckoning (two buffers of 4 MiB, 300 bytes an event), under the 32 MB of the smallest front end.

--- a/net/platform/src/coordinator.rs
+++ b/net/platform/src/coordinator.rs
@@ -14,8 +14,8 @@
 use tansy_net_sockets::{socket::Socket, within};
 use tansy_platform::{List, Updates};
 
-/// Bounds of one reply.
-const REPLY: Limits = Limits { head: 8 * 1024, body: 1024 * 1024 };
+/// Bounds of one reply: an outage and a roll of some thousand workers leave some megabytes of events.
+const REPLY: Limits = Limits { head: 8 * 1024, body: 4 * 1024 * 1024 };
 /// The coordinator may hold a poll for so long, ...
 const WAIT: Duration = Duration::from_millis(1000);
 /// ... and its reply is whole so much later: then the next is asked on another connection.
