Starts of workers are aged by the earlier of two clocks: no step makes a cold worker warm

The first form of the mend (the clock of the start, going on by the monotonic one) kept a clock that was wrong at the start. Change: the earlier of that and of what the system says now; a clock stepped back makes starts look younger, which is the stricter side of the budget for cold workers.

--- a/net/platform/src/coordinator.rs
+++ b/net/platform/src/coordinator.rs
@@ -100,7 +100,7 @@
     /// Whether there was a later event.
     fn take(&self, updates: &Updates) -> bool {
         let before = self.index();
-        let changes = self.list.borrow_mut().take(updates, self.hub.unix.now_ms());
+        let changes = self.list.borrow_mut().take(updates, self.hub.unix.earliest_ms());
         for (whole, list) in changes {
             self.hub.list(whole, list);
         }
--- a/net/sockets/src/clock.rs
+++ b/net/sockets/src/clock.rs
@@ -3,8 +3,9 @@
 use rustix::time::{clock_gettime, ClockId};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// The Unix clock as it stood at the start, which goes on by the monotonic clock: one that is stepped meanwhile makes no span
-/// longer or shorter.
+/// The Unix clock for ages of what others started. It may be stepped in service, or be wrong at the start and set right: the
+/// earlier is taken of what it says now and of what it said at the start plus the time since, so that a step makes nothing
+/// older than it is.
 #[derive(Clone, Copy, Debug)]
 pub struct UnixClock {
     start: Instant,
@@ -12,17 +13,22 @@
 }
 
 impl UnixClock {
-    /// Set by the system's clock now.
+    /// From now on.
     pub fn new() -> UnixClock {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        UnixClock { start: Instant::now(), start_ms: since.map_or(0.0, |d| d.as_secs_f64() * 1e3) }
+        UnixClock { start: Instant::now(), start_ms: system_ms() }
     }
-    /// Milliseconds of the Unix clock.
-    pub fn now_ms(&self) -> f64 {
-        self.start_ms + self.start.elapsed().as_secs_f64() * 1e3
+    /// Milliseconds of the Unix clock, rather too early than too late.
+    pub fn earliest_ms(&self) -> f64 {
+        let since_start = self.start.elapsed().as_secs_f64() * 1e3;
+        system_ms().min(self.start_ms + since_start)
     }
 }
 
+/// What the system's clock says, milliseconds.
+fn system_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1e3)
+}
+
 impl Default for UnixClock {
     fn default() -> UnixClock {
         UnixClock::new()
