--- a/tests/soak/src/proxy.rs
+++ b/tests/soak/src/proxy.rs
@@ -140,10 +140,13 @@
         let (mut to_worker, mut to_front) = (Vec::new(), Vec::new());
         let mut mode = self.mode.clone();
         let mut used = Instant::now();
+        // The other end has lost the connection without a word.
+        let mut forgotten = false;
         // When answers that are slow may pass.
         let mut release = Instant::now();
         loop {
-            let now = *mode.borrow_and_update();
+            let told = *mode.borrow_and_update();
+            let now = if forgotten { Mode::Partitioned } else { told };
             let waits = !to_front.is_empty() && Instant::now() < release;
             if now != Mode::Partitioned && !waits {
                 let sent = worker.write_all(&std::mem::take(&mut to_worker)).await;
@@ -190,12 +193,13 @@
                 }
                 _ = mode.changed() => {}
                 () = sleep_until(release), if waits => {}
-                () = sleep_until(idle_until), if self.open.is_empty() => {
-                    // One end in two is a reset.
-                    if self.connection.is_multiple_of(2) {
-                        reset_on_close(&front);
+                () = sleep_until(idle_until), if self.open.is_empty() && !forgotten => {
+                    // It is closed, reset or forgotten.
+                    match self.connection % 3 {
+                        0 => forgotten = true,
+                        1 => return reset_on_close(&front),
+                        _ => return,
                     }
-                    return;
                 }
             }
         }
