--- a/net/platform/src/connection.rs
+++ b/net/platform/src/connection.rs
@@ -1,7 +1,8 @@
 //! One connection to a worker. An attempt is known on it by its request's id; what comes for an id that is not open there is
 //! let go.
 
-use crate::hub::{Attempt, Hub};
+use crate::call::Attempt;
+use crate::hub::Hub;
 use crate::outbox::{Message, Outbox};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
--- a/net/platform/src/hub.rs
+++ b/net/platform/src/hub.rs
@@ -1,9 +1,11 @@
 //! The hub: gives the ledger its inputs and carries out its commands.
 
-use crate::clients::Slot;
+use crate::call::{finish, Attempt, CallIo};
+use crate::client::Slot;
 use crate::connection::Connection;
 use crate::link::Link;
 use crate::reasons::{Reasons, RefusalReason};
+use crate::setup::Setup;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -17,101 +19,8 @@
 use tansy_net_sockets::Spawner;
 use tansy_platform::call::{Asked, RequestId};
 use tansy_platform::list::Change;
-use tansy_platform::Shapes;
 use tansyrouter::{Span, Time};
 
-/// Bounds that the configuration gives.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// Classes and bounds of requests.
-    pub shapes: Shapes,
-    /// Answers tell of other calls.
-    pub crowd: bool,
-    /// Requests on one connection of a worker.
-    pub streams: usize,
-    /// A connection not made by then has failed.
-    pub connect_within: Duration,
-    /// A worker closes a connection that was idle for so long.
-    pub idle: Duration,
-    /// Connections of clients at once.
-    pub clients: usize,
-    /// Connections to workers at once.
-    pub workers: usize,
-}
-
-/// Descriptors that are neither clients' nor workers': the loop's own, the listener, logs, the poll, the
-/// configuration when it is read again, and connections that are accepted before those they replace are closed.
-const RESERVED: usize = 40;
-
-impl Setup {
-    /// From the configuration and the descriptors that this process may have; those beyond the reserved go to clients and
-    /// workers, two to one.
-    pub fn new(config: &tansy_platform::Config, descriptors: usize) -> Setup {
-        let conf = &config.settings;
-        let span = |s: f64, least: f64| Duration::from_secs_f64(s.clamp(least, 3600.0));
-        let free = config.limits.sockets.min(descriptors).saturating_sub(RESERVED).max(16);
-        Setup {
-            shapes: Shapes::new(conf),
-            crowd: conf.specifics.tells_crowd,
-            streams: conf.policy_limits.multiplex.unwrap_or(1).max(1),
-            connect_within: span(conf.policy_limits.connect_timeout_s, 0.02),
-            idle: span(conf.policy_limits.keepalive_s, 0.5),
-            clients: free * 2 / 3,
-            workers: free / 3,
-        }
-    }
-}
-
-/// A call on its way.
-pub struct CallIo {
-    /// What its client asked for.
-    pub asked: Asked,
-    /// The client's body, passed on as it came.
-    pub body: Vec<u8>,
-    /// Where its answer goes.
-    slot: Rc<Slot>,
-    /// Connections that its attempts went out on: an answer there is not a later attempt's.
-    used: RefCell<Vec<u64>>,
-    /// Where its attempt is.
-    at: RefCell<Option<Rc<Connection>>>,
-    /// The answer that the ledger has been told of.
-    staged: RefCell<Option<Vec<u8>>>,
-    /// How its last attempt ended.
-    last_end: Cell<Option<Seen>>,
-    /// How long it had waited when it was read, microseconds.
-    waited: Span,
-    taken: Instant,
-}
-
-impl CallIo {
-    /// The request's id, for logs.
-    pub fn request(&self) -> &str {
-        std::str::from_utf8(&self.asked.id).unwrap_or("")
-    }
-}
-
-/// One attempt at a call.
-#[derive(Clone)]
-pub struct Attempt {
-    /// The call.
-    pub call: CallId,
-    /// The attempt's number.
-    pub number: u32,
-    /// What is sent.
-    pub io: Rc<CallIo>,
-}
-
-impl Attempt {
-    /// Its bytes, when its worker has so long for it, microseconds.
-    pub fn encode(&self, setup: &Setup, patience: Span) -> Vec<u8> {
-        let asked = &self.io.asked;
-        let fields = asked.fields(setup.shapes.class(asked.class), (patience / 1000).max(1));
-        let mut bytes = Vec::new();
-        tansy_resp::write(&mut bytes, &[b"fire", &asked.id, fields.as_bytes(), &self.io.body]);
-        bytes
-    }
-}
-
 struct State {
     front: Front,
     inputs: VecDeque<Input>,
@@ -561,22 +470,3 @@
         links.iter().any(|l| l.spare())
     }
 }
-
-/// Gives a call's client its final answer.
-fn finish(io: &CallIo, answer: Answer) {
-    let body = io.staged.borrow_mut().take();
-    let (status, wait, body) = match answer {
-        Answer::Served => match body {
-            Some(body) => (200, 0, body),
-            None => (502, 0, Vec::new()),
-        },
-        Answer::Refused { stay_away } => (503, stay_away, Vec::new()),
-        Answer::Failed(why) => match why {
-            tansy_front::Why::Deadline => (504, 0, Vec::new()),
-            _ => (502, 0, Vec::new()),
-        },
-        Answer::Passed => (500, 0, Vec::new()),
-        Answer::Unknown => (404, 0, Vec::new()),
-    };
-    io.slot.give(status, wait, body);
-}
--- a/net/platform/src/link.rs
+++ b/net/platform/src/link.rs
@@ -1,7 +1,8 @@
 //! The connections to one worker.
 
 use crate::connection::{drive, Carries, Connection};
-use crate::hub::{Hub, Setup};
+use crate::hub::Hub;
+use crate::setup::Setup;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
