Soak: keyed requests, and no two front ends on one address

By the logs two front ends had drawn the same free port; the one that waited for it was taken for ready by the other's answer, which stood still then. All addresses are held until all are drawn. A keyed class with a window of 1 s is played and judged, with a planted violation in the oracle's tests.

--- a/tests/soak/src/clients.rs
+++ b/tests/soak/src/clients.rs
@@ -141,8 +141,12 @@
 
     fn request(&mut self) -> Request {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
-        let effect = if self.random.bool() { Effect::Safe } else { Effect::Unsafe };
-        let class = if effect == Effect::Safe { "safe" } else { "once" };
+        let (effect, class) = match self.random.u32(0..5) {
+            0 | 1 => (Effect::Safe, "safe"),
+            2 | 3 => (Effect::Unsafe, "once"),
+            _ => (Effect::Keyed, "keyed"),
+        };
+        let key = if effect == Effect::Keyed { format!("Idempotency-Key: k{id}\r\n") } else { String::new() };
         let wait_ms = match self.random.u32(0..10) {
             0 => self.random.u64(5..80),
             1..=4 => self.random.u64(200..800),
@@ -152,7 +156,7 @@
         let body = format!("body of {id}");
         let text = format!(
             "POST /ops/{function:016x}/call HTTP/1.1\r\nHost: app.svc\r\nX-Class: {class}\r\nX-Request-Id: {id:016x}\r\n\
-             X-Timeout-Ms: {wait_ms}\r\nX-Extras: memory_mb:300;lanes:2\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Timeout-Ms: {wait_ms}\r\nX-Extras: memory_mb:300;lanes:2\r\n{key}Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
         Request { id, effect, timeout: Duration::from_millis(wait_ms), text: text.into_bytes(), body }
--- a/tests/soak/src/facts.rs
+++ b/tests/soak/src/facts.rs
@@ -17,6 +17,8 @@
     Safe,
     /// It must not run twice.
     Unsafe,
+    /// Workers drop its repeats for a while ([`crate::site::REPEAT_WINDOW`]).
+    Keyed,
 }
 
 /// How a client's connection ended with a request open on it.
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -86,11 +86,9 @@
         front_ends: options.front_ends,
         sockets: SOCKETS[random.usize(0..SOCKETS.len())],
     });
-    let mut doors = Vec::new();
-    for _ in 0..options.front_ends {
-        doors.push(RwLock::new(Door { address: process::free_address()?, process: 0, open: false }));
-    }
-    let doors: Arc<Doors> = Arc::new(doors);
+    let addresses = process::free_addresses(options.front_ends)?;
+    let door = |address| RwLock::new(Door { address, process: 0, open: false });
+    let doors: Arc<Doors> = Arc::new(addresses.into_iter().map(door).collect());
     let watchdog = tokio::spawn(watch_harness(facts.clone()));
 
     let mut fronts = Vec::new();
--- a/tests/soak/src/oracle.rs
+++ b/tests/soak/src/oracle.rs
@@ -4,6 +4,7 @@
 use crate::clients::{CROSSING, LATE};
 use crate::facts::{ConnectionEnd, Effect, Fact, Place, RequestId, Signal, WorkerId};
 use crate::process::READY_WITHIN;
+use crate::site::REPEAT_WINDOW;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -361,8 +362,14 @@
                 let what = "an attempt began while another was open".to_string();
                 self.violated(Invariant::OneAttempt, at, Some(id), what);
             }
-            if sent.effect == Effect::Unsafe && !never_ran {
-                let what = "an unsafe request was sent again though it may have run".to_string();
+            let after = at.saturating_sub(earlier.began);
+            let twice = match sent.effect {
+                Effect::Safe => false,
+                Effect::Unsafe => true,
+                Effect::Keyed => after > REPEAT_WINDOW + ORDER_SLACK,
+            };
+            if twice && !never_ran {
+                let what = format!("sent again after {after:?} though it may have run: {:?}", sent.effect);
                 self.violated(Invariant::NoEffectTwice, at, Some(id), what);
             }
         }
--- a/tests/soak/src/process.rs
+++ b/tests/soak/src/process.rs
@@ -237,9 +237,11 @@
     timeout(Duration::from_secs(1), asked).await.ok().flatten().is_some()
 }
 
-/// An address at which nobody listens.
-pub fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Addresses at which nobody listens, no two the same: all are held until the last is known.
+pub fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let held: Vec<_> =
+        (0..count).map(|_| std::net::TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    held.iter().map(std::net::TcpListener::local_addr).collect()
 }
 
 /// A folder of this run.
--- a/tests/soak/src/site.rs
+++ b/tests/soak/src/site.rs
@@ -1,9 +1,12 @@
 //! The configuration that a front end is started with.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Seconds after which a worker closes a connection that carried nothing.
 pub const KEEPALIVE_S: f64 = 3.0;
+/// Workers drop the repeats of a keyed request for so long.
+pub const REPEAT_WINDOW: Duration = Duration::from_secs(1);
 /// The longest deadline of any class, milliseconds.
 pub const LONGEST_DEADLINE_MS: u64 = 2000;
 
@@ -64,7 +67,7 @@
             r#"{{"name":"n{}","listen":"{}","seed":"{:016x}",
             "limits":{{"cores":1.0,"memory_mb":64,"sockets":{}}},"coordinator":"{}",
             "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"version":1,"full":true,"servers":[{servers}]}}}}]}},
-            "settings":{{"me":{},"siblings":{},"zones":["a"],"machine_types":["k"],"classes":[{},{}],
+            "settings":{{"me":{},"siblings":{},"zones":["a"],"machine_types":["k"],"classes":[{},{},{}],
             "policy_limits":{{"cancel":true,"connect_timeout_s":{},"keepalive_s":{KEEPALIVE_S},"max_attempts":4,"multiplex":16}},
             "rules":{{"answer_slack_s":0.05,"drain_grace_s":0.25,"cold_from":0.3,"fall_multiple":4,"fall_s":3,"warm_up_s":5}},
             "specifics":{{"idle_life_s":10,"kind_memory_mb":[4000],"load_wait_s":4,"orders":true,"says_warm":true,
@@ -79,6 +82,10 @@
             self.siblings,
             class("safe", "read_like"),
             class("once", "non_idempotent"),
+            class("keyed", "idempotency_key").replace(
+                "\"gain\"",
+                &format!("\"repeat_window_s\":{},\"group\":\"all\",\"gain\"", REPEAT_WINDOW.as_secs())
+            ),
             self.connect_timeout_s,
         )
     }
--- a/tests/soak/tests/oracle.rs
+++ b/tests/soak/tests/oracle.rs
@@ -121,6 +121,21 @@
     assert_eq!(twice(Effect::Safe, false), []);
 }
 
+#[test]
+fn a_keyed_request_sent_again_after_its_window_is_found() {
+    for (again, wanted) in [(1100, vec![]), (1300, vec![Invariant::NoEffectTwice])] {
+        let facts = vec![
+            (100, sent(Effect::Keyed)),
+            (101, began(1, 990)),
+            (110, ended(1, false)),
+            (again, began(2, 0)),
+            (again + 1, ended(2, false)),
+            (again + 2, answered(200)),
+        ];
+        assert_eq!(found(facts), wanted, "{again} ms");
+    }
+}
+
 #[test]
 fn two_attempts_at_once_are_found() {
     let facts = vec![
