What has no bytes any more is let go of; an answer to what never left is noise

The entry could go by an answer that came ahead for an attempt that had not left, which was taken as served. The outbox's test failed before (WriteZero) and passes; answers are taken for what has left alone.

--- a/net/platform/src/connection.rs
+++ b/net/platform/src/connection.rs
@@ -365,13 +365,14 @@
         let (tag, word, fields, body) = (part(0), part(1), part(2), part(3));
         let answered = tansy_platform::answer(word, fields, hub.setup.crowd);
         let id: Option<RequestId> = tag.try_into().ok();
-        let open = id.and_then(|id| self.state.borrow_mut().calls.remove(&id));
+        let open = id.and_then(|id| take_left(&mut self.state.borrow_mut().calls, &id));
         if let Some(open) = open {
             return hub.answered(&open.what, answered.seen, answered.told, body.to_vec());
         }
         let order =
             tag.strip_prefix(b"o").and_then(|t| std::str::from_utf8(t).ok()?.parse().ok()).map(OrderId);
-        if let Some(order) = order.filter(|o| self.state.borrow_mut().orders.remove(o).is_some()) {
+        let order = order.filter(|o| take_left(&mut self.state.borrow_mut().orders, o).is_some());
+        if let Some(order) = order {
             hub.order_ended(order, answered.seen, answered.told);
         }
     }
@@ -405,6 +406,12 @@
     }
 }
 
+/// Takes what is open under this name. What has not left can't have been answered: that is noise.
+fn take_left<K: Eq + std::hash::Hash, T>(open: &mut HashMap<K, Open<T>>, name: &K) -> Option<Open<T>> {
+    open.get(name).filter(|o| o.left)?;
+    open.remove(name)
+}
+
 /// Drives one connection from its making to its end.
 pub async fn drive(hub: Rc<Hub>, address: SocketAddr, connection: Rc<Connection>) {
     let seen = run(&hub, address, &connection).await;
--- a/net/platform/src/outbox.rs
+++ b/net/platform/src/outbox.rs
@@ -84,7 +84,7 @@
         true
     }
 
-    /// Writes as much as is taken. Messages are made into bytes by `encode`; `begins` hears of each whose first byte has
+    /// Writes as much as is taken. Messages are made into bytes by `encode`, and let go of if there are none; `begins` hears of each whose first byte has
     /// left. What has not begun to leave waits on, and is made into bytes anew.
     pub fn flush(
         &mut self,
@@ -95,9 +95,19 @@
         while !self.is_empty() {
             let mut batch = std::mem::take(&mut self.begun);
             let mut starts = Vec::with_capacity(self.waiting.len());
-            for waiting in &self.waiting {
+            let bytes = &mut self.bytes;
+            self.waiting.retain(|waiting| {
+                let encoded = encode(&waiting.message);
+                if encoded.is_empty() {
+                    *bytes -= waiting.size;
+                    return false;
+                }
                 starts.push(batch.len());
-                batch.extend_from_slice(&encode(&waiting.message));
+                batch.extend_from_slice(&encoded);
+                true
+            });
+            if batch.is_empty() {
+                return Ok(());
             }
             let first = starts.first().copied().unwrap_or(batch.len());
             let written = match write(&batch) {
--- a/net/platform/tests/outbox.rs
+++ b/net/platform/tests/outbox.rs
@@ -69,3 +69,19 @@
     assert!(failed.is_err());
     assert!(outbox.take_back(&FIRST));
 }
+
+#[test]
+fn what_has_no_bytes_any_more_is_let_go() {
+    let mut outbox = Outbox::default();
+    outbox.push(Message::Attempt(FIRST), 16);
+    outbox.push(Message::Attempt(SECOND), 16);
+    let (mut taken, mut began) = (Vec::new(), 0);
+    let none = |_: &Message| Vec::new();
+    let write = |bytes: &[u8]| {
+        taken.extend_from_slice(bytes);
+        Poll::Ready(Ok(bytes.len()))
+    };
+    outbox.flush(none, |_| began += 1, write).expect("nothing to write is no error");
+    assert!(outbox.is_empty() && taken.is_empty());
+    assert_eq!((began, outbox.bytes()), (0, 0));
+}
