--- a/net/sockets/src/socket.rs
+++ b/net/sockets/src/socket.rs
@@ -164,12 +164,19 @@
     no_room(e) || e.raw_os_error().is_some_and(|code| PASSES.contains(&code))
 }
 
-/// Tries again what failed with an error that may pass, until it has done so for `within`.
-pub fn retry<T>(within: Duration, mut attempt: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    let until = Instant::now() + within;
+/// Tries again what failed with an error that may pass, until it has done so for `within`; the first error is told with what it
+/// was of.
+pub fn retry<T>(within: Duration, what: &str, mut attempt: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let began = Instant::now();
+    let mut told = false;
     loop {
         match attempt() {
-            Err(e) if transient(&e) && Instant::now() < until => std::thread::sleep(RETRY_PAUSE),
+            Err(e) if transient(&e) && began.elapsed() < within => {
+                if !std::mem::replace(&mut told, true) {
+                    tracing::warn!(error = %e, what, "a start is tried again");
+                }
+                std::thread::sleep(RETRY_PAUSE);
+            }
             done => return done,
         }
     }
--- a/programs/gateway/src/platform.rs
+++ b/programs/gateway/src/platform.rs
@@ -43,7 +43,7 @@
 
 /// Reads the configuration at a start, when no descriptor may be left for a moment.
 pub fn read_first(path: &Path) -> Result<Config, String> {
-    let text = retry(START_WITHIN, || std::fs::read_to_string(path));
+    let text = retry(START_WITHIN, "the configuration", || std::fs::read_to_string(path));
     parse(path, &text.map_err(|e| format!("{}: {e}", path.display()))?)
 }
 
@@ -57,14 +57,15 @@
 impl Signals {
     /// Before all else, so that none comes too early.
     pub fn new() -> Result<Signals, Error> {
-        let source = retry_loop(|| Source::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]))?;
+        let source =
+            retry_loop("signals", || Source::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]))?;
         Ok(Signals(source))
     }
 }
 
 /// As [`retry`], of what the loop library makes.
-fn retry_loop<T>(mut make: impl FnMut() -> calloop::Result<T>) -> Result<T, Error> {
-    Ok(retry(START_WITHIN, || make().map_err(io_error))?)
+fn retry_loop<T>(what: &str, mut make: impl FnMut() -> calloop::Result<T>) -> Result<T, Error> {
+    Ok(retry(START_WITHIN, what, || make().map_err(io_error))?)
 }
 
 /// What signals have asked for.
@@ -94,8 +95,8 @@
 impl Platform {
     /// Listens, and begins to follow the list.
     pub fn start(config: &Config) -> Result<Platform, Error> {
-        let event_loop: EventLoop<'static, ()> = retry_loop(EventLoop::try_new)?;
-        let spawner = retry(START_WITHIN, || Spawner::new(event_loop.handle()))?;
+        let event_loop: EventLoop<'static, ()> = retry_loop("the event loop", EventLoop::try_new)?;
+        let spawner = retry(START_WITHIN, "the tasks", || Spawner::new(event_loop.handle()))?;
         let settings = tansy_conf::settings(&config.settings).map_err(|e| format!("settings: {e}"))?;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).max(LEAST_DEADLINE);
         let front = tansy_front::Config {
@@ -107,7 +108,7 @@
             longest,
             seed: config.seed(),
         };
-        let listener = retry(START_WITHIN, || listen(config.listen, false))
+        let listener = retry(START_WITHIN, "the listener", || listen(config.listen, false))
             .map_err(|e| format!("listen {}: {e}", config.listen))?;
         let address = listener.local_addr()?;
         let front = Front::new(front, Time(0))?;
--- a/tests/soak/src/discovery.rs
+++ b/tests/soak/src/discovery.rs
@@ -79,6 +79,8 @@
 
     /// Behaves so from now on.
     pub fn behave(&self, mode: Mode) {
+        let answers = matches!(mode, Mode::Plain | Mode::Slow(_));
+        self.facts.note(Fact::Discovery { answers });
         self.mode.send_replace(mode);
     }
 
--- a/tests/soak/src/facts.rs
+++ b/tests/soak/src/facts.rs
@@ -128,6 +128,11 @@
         /// The last event that the front end held.
         event: u64,
     },
+    /// The coordinator answers whole replies from now on, however slowly, or does not.
+    Discovery {
+        /// It does.
+        answers: bool,
+    },
     /// A reply with the events up to this one was begun.
     Told {
         /// The front end.
--- a/tests/soak/src/oracle.rs
+++ b/tests/soak/src/oracle.rs
@@ -433,12 +433,14 @@
             _ => None,
         });
         let listed: Vec<_> = listed.collect();
+        let down = outages(facts);
         let mut late = Vec::new();
         for (process, life) in &self.processes {
             let Some(ready) = life.ready else { continue };
             let end = [life.terminated, life.killed, life.exited].into_iter().flatten().min();
             for (at, event) in &listed {
-                let due = (*at).max(ready) + TOLD_WITHIN + life.stopped();
+                let unheard: Duration = down.iter().filter(|d| d.1 > *at).map(|d| d.1 - d.0.max(*at)).sum();
+                let due = (*at).max(ready) + TOLD_WITHIN + life.stopped() + unheard;
                 let alive = end.is_none_or(|end| end > due);
                 let heard = life.held.iter().any(|(heard, held)| held >= event && *heard <= due);
                 if alive && !heard && facts.last().is_some_and(|f| f.0 > due) {
@@ -478,6 +480,20 @@
     }
 }
 
+/// The times in which the coordinator answered nothing whole.
+fn outages(facts: &[(Duration, Fact)]) -> Vec<(Duration, Duration)> {
+    let mut outages = Vec::new();
+    let mut since = None;
+    for (at, fact) in facts {
+        match fact {
+            Fact::Discovery { answers: false } => since = since.or(Some(*at)),
+            Fact::Discovery { answers: true } => outages.extend(since.take().map(|from| (from, *at))),
+            _ => {}
+        }
+    }
+    outages
+}
+
 /// The request that a fact is about.
 fn about(fact: &Fact) -> Option<RequestId> {
     match fact {
--- a/tests/soak/src/process.rs
+++ b/tests/soak/src/process.rs
@@ -237,11 +237,11 @@
     timeout(Duration::from_secs(1), asked).await.ok().flatten().is_some()
 }
 
-/// Addresses at which nobody listens, no two the same: all are held until the last is known.
+/// Addresses at which nobody listens, each on an address of its own: connections that go out from 127.0.0.1 can't take their
+/// ports while a front end is down.
 pub fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let held: Vec<_> =
-        (0..count).map(|_| std::net::TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    held.iter().map(std::net::TcpListener::local_addr).collect()
+    let address = |n: usize| SocketAddr::from(([127, 0, 1 + (n / 250) as u8, 1 + (n % 250) as u8], 0));
+    (0..count).map(|n| std::net::TcpListener::bind(address(n))?.local_addr()).collect()
 }
 
 /// A folder of this run.
--- a/tests/soak/tests/oracle.rs
+++ b/tests/soak/tests/oracle.rs
@@ -191,7 +191,11 @@
     let heard = |event| Fact::Polled { place: PLACE, process: PROCESS, event };
     let end = (12_000, Fact::Trouble("the end".into()));
     assert_eq!(found(vec![(500, listed.clone()), (900, heard(0)), end.clone()]), [Invariant::ListHeard]);
-    assert_eq!(found(vec![(500, listed), (900, heard(1)), end]), []);
+    assert_eq!(found(vec![(500, listed.clone()), (900, heard(1)), end.clone()]), []);
+    // While the coordinator answers nothing, nothing can be heard.
+    let (down, up) = (Fact::Discovery { answers: false }, Fact::Discovery { answers: true });
+    let outage = vec![(400, down), (500, listed), (6000, up), (9000, heard(1)), end];
+    assert_eq!(found(outage), []);
 }
 
 #[test]
