A stop between two turns of the loop counts: what is read after it may have waited

Cause: Lag looked at the time from a turn's beginning to its end; a process can be stopped, or be given no time, between two.

--- a/net/sockets/src/lag.rs
+++ b/net/sockets/src/lag.rs
@@ -14,6 +14,8 @@
 pub struct Lag {
     /// When this turn began.
     began: Cell<Instant>,
+    /// When the turn before ended.
+    ended: Cell<Instant>,
     /// How long it meant to wait.
     planned: Cell<Duration>,
     /// When the last turn began after which all had been read in time.
@@ -27,6 +29,7 @@
     pub fn new(now: Instant) -> Lag {
         Lag {
             began: Cell::new(now),
+            ended: Cell::new(now),
             planned: Cell::new(Duration::ZERO),
             behind_since: Cell::new(None),
             turns: Cell::new(0),
@@ -35,16 +38,18 @@
 
     /// A turn begins, which waits at most so long.
     pub fn turn_begins(&self, now: Instant, planned: Duration) {
+        if now.saturating_duration_since(self.ended.get()) > MARGIN {
+            self.fell_behind(self.ended.get());
+        }
         self.began.set(now);
         self.planned.set(planned);
     }
 
     /// A turn ends.
     pub fn turn_ends(&self, now: Instant) {
+        self.ended.set(now);
         if self.late(now) {
-            self.behind_since.set(self.behind_since.get().or(Some(self.began.get())));
-            self.turns.set(TURNS);
-            return;
+            return self.fell_behind(self.began.get());
         }
         self.turns.set(self.turns.get().saturating_sub(1));
         if self.turns.get() == 0 {
@@ -52,6 +57,11 @@
         }
     }
 
+    fn fell_behind(&self, since: Instant) {
+        self.behind_since.set(self.behind_since.get().or(Some(since)));
+        self.turns.set(TURNS);
+    }
+
     fn late(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.began.get()) > self.planned.get() + MARGIN
     }
