--- a/tests/path/src/lib.rs
+++ b/tests/path/src/lib.rs
@@ -130,10 +130,16 @@
         self.jobs.send(Box::new(job)).expect("the gateway runs");
     }
 
-    /// The account, once nothing is held or out any more.
+    /// The account, once nothing is held or out any more. It is asked on the gateway's thread: what a client has heard is told
+    /// to the others only after the turn in which it was written.
     pub fn account(&self) -> Account {
-        until("the gateway is idle", || self.state.lock().expect("no panic").1);
-        self.peek()
+        let mut line = String::new();
+        until("the gateway is idle", || {
+            let (account, idle) = self.with(|g| (g.account(), g.idle()));
+            line = account;
+            idle
+        });
+        Account(line)
     }
 
     /// The account as it stands.
