--- a/net/sockets/src/lag.rs
+++ b/net/sockets/src/lag.rs
@@ -18,7 +18,7 @@
     ended: Cell<Instant>,
     /// How long it meant to wait.
     planned: Cell<Duration>,
-    /// When the last turn began after which all had been read in time.
+    /// Since when what is read can have waited: the begin of the turn that was late, or the end of the one before it.
     behind_since: Cell<Option<Instant>>,
     /// Turns to go until it has caught up.
     turns: Cell<u8>,
