--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -114,6 +114,25 @@
         self.events.1.notify_all();
     }
 
+    /// Adds several events at once, each of which changes entries.
+    pub fn announce_all(&self, record: &Record, all: &[Vec<Listed>]) {
+        let mut events = self.events.0.lock().unwrap();
+        for changes in all {
+            let index = events.len() as u64 + 1;
+            events.push(event(index, false, changes));
+        }
+        record.write(&format!("coordinator has {} more events", all.len()));
+        self.events.1.notify_all();
+    }
+
+    /// Another handle of the same coordinator, for another thread.
+    pub fn twin(&self) -> Coordinator {
+        Coordinator {
+            address: self.address,
+            events: self.events.clone(),
+        }
+    }
+
     /// All events so far, in the form of `known`.
     pub fn known(&self) -> String {
         let events = self.events.0.lock().unwrap();
@@ -273,6 +292,9 @@
     format!("result of {} by {worker} for {}", fired.id, text(&fired.body)).into_bytes()
 }
 
+/// The ids of functions that exist nowhere begin with this.
+pub const NO_FUNCTION: &str = "dead";
+
 type OnCall = Arc<dyn Fn(&WorkerLink, &Fired) + Send + Sync>;
 
 /// A worker: it loads functions on order, runs calls of loaded ones and answers.
@@ -351,13 +373,16 @@
                 record.write(&format!("{place}: provision {}", text(word(2))));
                 let (link, loaded, tag) = (link.clone(), loaded.clone(), word(1).to_vec());
                 thread::spawn(move || {
-                    if replicas > 0 && !loaded.lock().unwrap().contains(&function) {
+                    let exists = !function.starts_with(NO_FUNCTION);
+                    if exists && replicas > 0 && !loaded.lock().unwrap().contains(&function) {
                         thread::sleep(load);
                         loaded.lock().unwrap().insert(function.clone());
                     }
                     let stand = u32::from(loaded.lock().unwrap().contains(&function));
                     let fields = format!("replicas={stand}");
-                    link.write(&array(&[&tag, b"200", fields.as_bytes(), b""]));
+                    // The load of a function that does not exist fails.
+                    let word: &[u8] = if exists || replicas == 0 { b"200" } else { b"500" };
+                    link.write(&array(&[&tag, word, fields.as_bytes(), b""]));
                 });
             }
             b"there" => {
