Review case 2: calls of unknown functions drive the front end over its memory limit

Change: review/2. 20 bad clients call another unknown function with each request; what the front end keeps of them passes 192 MB, at which the platform kills it.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -56,7 +56,7 @@
     let workers = [start_worker(record, "w1", &made, spoil)?, start_worker(record, "w2", &made, spoil)?];
     let list: Vec<Listed> = workers.iter().map(|worker| Listed::ready(&worker.name, worker.address)).collect();
     let coordinator = Coordinator::start(record, &list)?;
-    let front_end = FrontEnd::start(folder, &coordinator, &settings(""), 1024)?;
+    let front_end = FrontEnd::start(folder, &coordinator, &settings(""), LARGEST)?;
     let mut random = Random(0x5eed_c11e);
     let mut client = Client::new(front_end.address);
     let (mut answered, mut served_right, mut served_wrong, mut lost) = (0, 0, 0, 0);
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,70 +1,49 @@
-//! Case 2: calls of bad clients that the front end holds fill its client connections. Calls of usual clients then wait
-//! unread in the accept queue until their time is long over.
+//! Case 2: bad clients call functions that no worker knows, each another one. What the front end keeps of them grows
+//! beyond its limit of memory, at which the platform kills it.
 
 #[path = "../standins/platform.rs"]
 mod platform;
 
 use platform::*;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use std::{io, process};
 
-/// The least limit of descriptors that the pages name.
-const SOCKETS: usize = 256;
-/// Usual clients: far under a third of the descriptors.
-const USUAL: u64 = 12;
-/// Bad clients: "hundreds of requests at once".
-const BAD: u64 = 200;
-/// Half of the class's give-up time, the shortest try that the site's page names.
+/// The most that a front end has on the days that are scored.
+const MEMORY_MB: u64 = 192;
+const USUAL: u64 = 6;
+const BAD: u64 = 20;
 const USUAL_TIMEOUT: Duration = Duration::from_millis(1250);
-/// The class's give-up time.
-const BAD_TIMEOUT: Duration = Duration::from_millis(2500);
-/// An answer up to half a second after the time only earns nothing; a tenth more for the measuring client.
-const PATIENCE: Duration = Duration::from_millis(600);
-/// A request that crosses the end of its resting connection within this time is sent once more.
-const CROSSING: Duration = Duration::from_millis(50);
+/// Bad clients state little time, and so are turned away at once.
+const BAD_TIMEOUT: Duration = Duration::from_millis(5);
+const PATIENCE: Duration = Duration::from_millis(500);
 const CALM: Duration = Duration::from_secs(3);
-const TROUBLE: Duration = Duration::from_secs(8);
-const END: Duration = Duration::from_secs(14);
+/// The front end keeps what it learns of a function for about 45 s; the disruption lasts a little longer.
+const TROUBLE: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(100);
 const FUNCTION: &str = "7f3a9c21e0b4d655";
 
 #[derive(Default)]
 struct Tally {
-    served: u32,
-    refused: u32,
-    failed: u32,
-    lost: u32,
-    slowest: Duration,
-    bad_answered: u32,
-    bad_unanswered: u32,
+    served: AtomicU64,
+    not_served: AtomicU64,
+    bad_sent: AtomicU64,
+    bad_served: AtomicU64,
 }
 
 fn main() {
     run_case(case);
 }
 
-/// Sends one call as a usual client does, and returns its answer and how long it took. A call that crosses the end of a
-/// resting connection is sent once more, and its time then counts from there.
-fn usual_call(client: &mut Client, call: &ClientCall) -> (Option<Answer>, Duration) {
-    let sent = Instant::now();
-    let answer = client.call(call, PATIENCE);
-    if answer.is_some() || sent.elapsed() > CROSSING {
-        return (answer, sent.elapsed());
-    }
-    let sent = Instant::now();
-    (client.call(call, PATIENCE), sent.elapsed())
-}
-
-fn usual_client(number: u64, front_end: SocketAddr, stop: &AtomicBool, record: &Record, tally: &Mutex<Tally>) {
-    let mut random = Random(0x5eed_0002 + number * 7919);
+fn usual_client(number: u64, front_end: SocketAddr, stop: &AtomicBool, record: &Record, tally: &Tally) {
+    let mut random = Random(0x5eed_0003 + number * 7919);
     let mut client = Client::new(front_end);
     while !stop.load(Ordering::Relaxed) {
-        thread::sleep(Duration::from_millis(150 + random.below(200)));
+        thread::sleep(Duration::from_millis(100 + random.below(200)));
         let call = ClientCall {
             id: random.id(),
             function: FUNCTION.to_string(),
@@ -72,105 +51,111 @@
             timeout: USUAL_TIMEOUT,
             body: b"usual".to_vec(),
         };
-        record.write(&format!("usual client {number} sends {}", call.id));
-        let (answer, took) = usual_call(&mut client, &call);
-        let mut tally = tally.lock().unwrap();
-        tally.slowest = tally.slowest.max(took);
-        let Some(answer) = answer else {
-            tally.lost += 1;
-            record.print(&format!("broken: {} of usual client {number} has no answer {} ms after it was sent, with {} ms as its time", call.id, took.as_millis(), USUAL_TIMEOUT.as_millis()));
-            continue;
-        };
-        record.write(&format!("usual client {number} got {} for {} after {} ms", answer.status, call.id, took.as_millis()));
-        match answer.status {
-            200 => tally.served += 1,
-            429 | 503 => tally.refused += 1,
-            _ => tally.failed += 1,
-        }
+        let answer = client.call(&call, PATIENCE);
+        record.write(&format!("usual client {number} got {:?} for {}", answer.as_ref().map(|answer| answer.status), call.id));
+        let counter = if answer.is_some_and(|answer| answer.status == 200) { &tally.served } else { &tally.not_served };
+        counter.fetch_add(1, Ordering::Relaxed);
     }
 }
 
-/// Calls a function that no worker knows, and sends the same again as soon as it is turned away.
-fn bad_client(number: u64, front_end: SocketAddr, until: Instant, record: &Record, tally: &Mutex<Tally>) {
-    let mut random = Random(0x5eed_bad0 + number * 104_729);
-    while Instant::now() < until {
+/// One request at a time on one connection, and another as soon as it is turned away.
+fn bad_client(number: u64, front_end: SocketAddr, stop: &AtomicBool, tally: &Tally) {
+    let mut random = Random(0x5eed_bad1 + number * 104_729);
+    let mut client = Client::new(front_end);
+    while !stop.load(Ordering::Relaxed) {
         let call = ClientCall {
             id: random.id(),
-            function: format!("{NO_FUNCTION}{number:012x}"),
+            function: format!("{NO_FUNCTION}{:012x}", random.next() >> 16),
             class: "read",
             timeout: BAD_TIMEOUT,
-            body: b"bad".to_vec(),
-        };
-        let Ok(socket) = TcpStream::connect(front_end) else {
-            thread::sleep(Duration::from_millis(10));
-            continue;
+            body: Vec::new(),
         };
-        let sent = Instant::now();
-        let answer = (&socket).write_all(&call.bytes()).and_then(|()| read_answer(&socket, sent + Duration::from_secs(6)));
-        let took = sent.elapsed().as_millis();
-        let mut tally = tally.lock().unwrap();
+        let answer = client.call(&call, Duration::from_secs(3));
+        tally.bad_sent.fetch_add(1, Ordering::Relaxed);
         match answer {
-            Ok((answer, _)) => {
-                tally.bad_answered += 1;
-                record.write(&format!("bad client {number} got {} for {} after {took} ms", answer.status, call.id));
-            }
-            Err(error) => {
-                tally.bad_unanswered += 1;
-                record.write(&format!("bad client {number}: {} ended after {took} ms: {error}", call.id));
+            Some(answer) if answer.status == 200 => {
+                tally.bad_served.fetch_add(1, Ordering::Relaxed);
             }
+            Some(_) => {}
+            None => thread::sleep(Duration::from_millis(5)),
         }
     }
 }
 
+fn start_workers(record: &Record) -> io::Result<Vec<Worker>> {
+    let start = |number: u32| {
+        let name = format!("w{number}");
+        let (worker, log) = (name.clone(), record.clone());
+        let on_call = move |link: &WorkerLink, fired: &Fired| {
+            thread::sleep(Duration::from_millis(20));
+            log.write(&format!("{worker} ran {}", fired.id));
+            link.write(&served(fired, &result_of(&worker, fired)));
+        };
+        Worker::start(record, &name, Duration::from_millis(300), Arc::new(on_call))
+    };
+    (1..=3).map(start).collect()
+}
+
 fn case(record: &Record, folder: &Path) -> io::Result<i32> {
-    let workers = (1..=3)
-        .map(|number| {
-            let name = format!("w{number}");
-            let (worker, log) = (name.clone(), record.clone());
-            let on_call = move |link: &WorkerLink, fired: &Fired| {
-                thread::sleep(Duration::from_millis(20));
-                log.write(&format!("{worker} ran {}", fired.id));
-                link.write(&served(fired, &result_of(&worker, fired)));
-            };
-            Worker::start(record, &name, Duration::from_millis(300), Arc::new(on_call))
-        })
-        .collect::<io::Result<Vec<Worker>>>()?;
+    let workers = start_workers(record)?;
     let list: Vec<Listed> = workers.iter().map(|worker| Listed::ready(&worker.name, worker.address)).collect();
     let coordinator = Coordinator::start(record, &list)?;
-    let front_end = FrontEnd::start(folder, &coordinator, &settings(""), SOCKETS)?;
-    record.write(&format!("front end {} with {SOCKETS} descriptors, case {}", front_end.address, process::id()));
-    let tally = Arc::new(Mutex::new(Tally::default()));
-    let stop = Arc::new(AtomicBool::new(false));
-    let started_at = Instant::now();
+    let limits = Limits { memory_mb: MEMORY_MB, sockets: 256 };
+    let mut front_end = FrontEnd::start(folder, &coordinator, &settings(""), limits)?;
+    let (tally, stop) = (Arc::new(Tally::default()), Arc::new(AtomicBool::new(false)));
+    let address = front_end.address;
     let mut clients = Vec::new();
     for number in 0..USUAL {
-        let (address, stop, record, tally) = (front_end.address, stop.clone(), record.clone(), tally.clone());
+        let (stop, record, tally) = (stop.clone(), record.clone(), tally.clone());
         clients.push(thread::spawn(move || usual_client(number, address, &stop, &record, &tally)));
     }
     thread::sleep(CALM);
-    if tally.lock().unwrap().served == 0 {
-        record.print("no call was served before the disruption: the case did not run");
-        stop.store(true, Ordering::Relaxed);
-        return Ok(NOT_RUN);
-    }
+    let before = front_end.anonymous_memory_kib()?;
+    record.print(&format!("anonymous memory before the disruption: {before} KiB; limit {MEMORY_MB} MB"));
     if has_trouble() {
-        record.print(&format!("{BAD} bad clients connect and call functions that no worker knows"));
-        let until = started_at + CALM + TROUBLE;
         for number in 0..BAD {
-            let (address, record, tally) = (front_end.address, record.clone(), tally.clone());
-            clients.push(thread::spawn(move || bad_client(number, address, until, &record, &tally)));
+            let (stop, tally) = (stop.clone(), tally.clone());
+            clients.push(thread::spawn(move || bad_client(number, address, &stop, &tally)));
+        }
+    }
+    let began = Instant::now();
+    let mut logged = 0;
+    let (mut largest, mut code) = (before, HELD);
+    while began.elapsed() < TROUBLE {
+        thread::sleep(LOOK);
+        if let Some(status) = front_end.child.try_wait()? {
+            record.print(&format!("broken: the front end ended by itself: {status}"));
+            code = BROKEN;
+            break;
+        }
+        let memory = front_end.anonymous_memory_kib()?;
+        largest = largest.max(memory);
+        let sent = tally.bad_sent.load(Ordering::Relaxed);
+        if began.elapsed().as_secs() > logged {
+            logged = began.elapsed().as_secs();
+            record.write(&format!("after {logged} s: {memory} KiB, {sent} requests of bad clients"));
+        }
+        if memory > MEMORY_MB * 1024 {
+            let after = began.elapsed().as_secs_f64();
+            record.print(&format!("broken: {memory} KiB after {after:.1} s and {sent} requests of bad clients; the platform kills the front end"));
+            front_end.child.kill()?;
+            let _ = front_end.child.wait();
+            code = BROKEN;
+            break;
         }
     }
-    thread::sleep(END.saturating_sub(started_at.elapsed()));
     stop.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
     }
-    let alive = front_end.is_alive();
-    let tally = tally.lock().unwrap();
+    let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     record.print(&format!(
-        "usual clients: {} served, {} refused, {} failed, {} lost, slowest {} ms; bad clients: {} answered, {} not; front end alive: {alive}",
-        tally.served, tally.refused, tally.failed, tally.lost, tally.slowest.as_millis(), tally.bad_answered, tally.bad_unanswered
+        "largest {largest} KiB; usual calls: {} served, {} not; bad requests: {} sent, {} served",
+        count(&tally.served), count(&tally.not_served), count(&tally.bad_sent), count(&tally.bad_served)
     ));
-    Ok(if tally.lost > 0 { BROKEN } else { HELD })
+    if count(&tally.served) == 0 {
+        record.print("no usual call was served: the case did not run");
+        return Ok(NOT_RUN);
+    }
+    Ok(code)
 }
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -54,6 +54,7 @@
 pub struct Listed {
     pub id: String,
     pub address: SocketAddr,
+    pub zone: &'static str,
     pub state: &'static str,
     pub started_ms: u64,
 }
@@ -63,6 +64,7 @@
         Listed {
             id: id.to_string(),
             address,
+            zone: "a",
             state: "Ready",
             started_ms: 0,
         }
@@ -72,11 +74,12 @@
         let Listed {
             id,
             address,
+            zone,
             state,
             started_ms,
         } = self;
         format!(
-            r#"{{"id":"{id}","addr":"{address}","zone":"a","kind":"std","cell":0,"state":"{state}","weight":1,"started_ms":{started_ms}}}"#
+            r#"{{"id":"{id}","addr":"{address}","zone":"{zone}","kind":"std","cell":0,"state":"{state}","weight":1,"started_ms":{started_ms}}}"#
         )
     }
 }
@@ -485,10 +488,10 @@
     }
 }
 
-/// The settings of a small deployment: one front end, one zone, one machine kind, a class of each effect.
+/// The settings of a small deployment: one front end, two zones, one machine kind, a class of each effect.
 pub fn settings(more_policy: &str) -> String {
     format!(
-        r#"{{"me":0,"siblings":1,"locality":0,"zones":["a"],"machine_types":["std"],"discovery":"pushed","family":"warm","value_by":"request","weights":"rough",
+        r#"{{"me":0,"siblings":1,"locality":0,"zones":["a","b"],"machine_types":["std"],"discovery":"pushed","family":"warm","value_by":"request","weights":"rough",
         "classes":[
         {{"name":"read","aim_s":0.8,"deadline_s":2.5,"effect":"read_like","gain":1,"group":"all","late_worth":0.2,"repeat_window_s":5,"streamed":false}},
         {{"name":"order","aim_s":0.8,"deadline_s":2.5,"effect":"non_idempotent","gain":3,"group":"all","late_worth":0.2,"repeat_window_s":5,"streamed":false}}],
@@ -499,6 +502,16 @@
     )
 }
 
+/// The limits that the configuration tells a front end.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: usize,
+}
+
+/// The most that a front end has on the days that are scored.
+pub const LARGEST: Limits = Limits { memory_mb: 192, sockets: 1024 };
+
 /// A front end, started by the command `run` of the deploy file.
 pub struct FrontEnd {
     pub address: SocketAddr,
@@ -525,14 +538,14 @@
 
 impl FrontEnd {
     /// Starts a front end and waits until it answers `GET /alive` with 200.
-    pub fn start(folder: &Path, coordinator: &Coordinator, settings: &str, sockets: usize) -> io::Result<FrontEnd> {
+    pub fn start(folder: &Path, coordinator: &Coordinator, settings: &str, limits: Limits) -> io::Result<FrontEnd> {
         let address = free_address()?;
-        FrontEnd::start_at(folder, address, coordinator.address, &coordinator.known(), settings, sockets)
+        FrontEnd::start_at(folder, address, coordinator.address, &coordinator.known(), settings, limits)
     }
 
-    pub fn start_at(folder: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, sockets: usize) -> io::Result<FrontEnd> {
+    pub fn start_at(folder: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, limits: Limits) -> io::Result<FrontEnd> {
         let config = folder.join("config.json");
-        write_config(&config, address, coordinator, known, settings, sockets)?;
+        write_config(&config, address, coordinator, known, settings, limits)?;
         let log = File::options().create(true).append(true).open(folder.join("front-end.log"))?;
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()?])
@@ -568,17 +581,25 @@
         ask().unwrap_or(false)
     }
 
+    /// The anonymous memory that the front end's process has in use, in KiB.
+    pub fn anonymous_memory_kib(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")?.trim().strip_suffix("kB"));
+        line.and_then(|number| number.trim().parse().ok()).ok_or(ErrorKind::InvalidData.into())
+    }
+
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
     }
 }
 
-pub fn write_config(path: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, sockets: usize) -> io::Result<()> {
+pub fn write_config(path: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, limits: Limits) -> io::Result<()> {
+    let Limits { memory_mb, sockets } = limits;
     let new = path.with_extension("new");
     std::fs::write(
         &new,
         format!(
-            r#"{{"name":"n0","listen":"{address}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"coordinator":"{coordinator}","known":{known},"settings":{settings}}}"#
+            r#"{{"name":"n0","listen":"{address}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"coordinator":"{coordinator}","known":{known},"settings":{settings}}}"#
         ),
     )?;
     std::fs::rename(new, path)
