--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -93,10 +93,13 @@
 impl Coordinator {
     /// Starts with one event: the whole list.
     pub fn start(record: &Record, list: &[Listed]) -> io::Result<Coordinator> {
+        let first = event(1, true, list);
+        Coordinator::serve(record, Arc::new((Mutex::new(vec![first]), Condvar::new())))
+    }
+
+    fn serve(record: &Record, events: Arc<(Mutex<Vec<String>>, Condvar)>) -> io::Result<Coordinator> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let first = event(1, true, list);
-        let events = Arc::new((Mutex::new(vec![first]), Condvar::new()));
         let (shared, record) = (events.clone(), record.clone());
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -128,6 +131,11 @@
         self.events.1.notify_all();
     }
 
+    /// Serves the same events at another address too.
+    pub fn moved(&self, record: &Record) -> io::Result<Coordinator> {
+        Coordinator::serve(record, self.events.clone())
+    }
+
     /// Another handle of the same coordinator, for another thread.
     pub fn twin(&self) -> Coordinator {
         Coordinator {
