--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -28,7 +28,9 @@
 
 fn start_worker(record: &Record, name: &str, made: &Made, spoil: bool) -> io::Result<Worker> {
     let (made, worker, log) = (made.clone(), name.to_string(), record.clone());
-    let random = Mutex::new(Random(0x5eed_0001 + name.len() as u64 * 7919 + u64::from(name.as_bytes()[1])));
+    let random = Mutex::new(Random(
+        0x5eed_0001 + name.len() as u64 * 7919 + u64::from(name.as_bytes()[1]),
+    ));
     Worker::start(
         record,
         name,
@@ -36,12 +38,19 @@
         Arc::new(move |link, fired| {
             thread::sleep(WORK);
             let result = result_of(&worker, fired);
-            made.lock().unwrap().entry(fired.id.clone()).or_default().push(result.clone());
+            made.lock()
+                .unwrap()
+                .entry(fired.id.clone())
+                .or_default()
+                .push(result.clone());
             let mut bytes = served(fired, &result);
             if spoil && random.lock().unwrap().below(SPOILT_ONE_IN) == 0 {
                 // The length of the array: three strings are said, four follow.
                 bytes[1] = b'3';
-                log.write(&format!("{worker} ran {} and its answer is spoilt: *3 before four strings", fired.id));
+                log.write(&format!(
+                    "{worker} ran {} and its answer is spoilt: *3 before four strings",
+                    fired.id
+                ));
             } else {
                 log.write(&format!("{worker} ran {} and answers 200", fired.id));
             }
@@ -53,8 +62,14 @@
 fn case(record: &Record, folder: &Path) -> io::Result<i32> {
     let spoil = has_trouble();
     let made = Made::default();
-    let workers = [start_worker(record, "w1", &made, spoil)?, start_worker(record, "w2", &made, spoil)?];
-    let list: Vec<Listed> = workers.iter().map(|worker| Listed::ready(&worker.name, worker.address)).collect();
+    let workers = [
+        start_worker(record, "w1", &made, spoil)?,
+        start_worker(record, "w2", &made, spoil)?,
+    ];
+    let list: Vec<Listed> = workers
+        .iter()
+        .map(|worker| Listed::ready(&worker.name, worker.address))
+        .collect();
     let coordinator = Coordinator::start(record, &list)?;
     let front_end = FrontEnd::start(folder, &coordinator, &settings(""), LARGEST)?;
     let mut random = Random(0x5eed_c11e);
@@ -75,16 +90,30 @@
             continue;
         };
         answered += 1;
-        record.write(&format!("client got {} for {}: {:?}", answer.status, call.id, text(&answer.body)));
+        record.write(&format!(
+            "client got {} for {}: {:?}",
+            answer.status,
+            call.id,
+            text(&answer.body)
+        ));
         if answer.status != 200 {
             continue;
         }
-        let was_made = made.lock().unwrap().get(&call.id).is_some_and(|results| results.contains(&answer.body));
+        let was_made = made
+            .lock()
+            .unwrap()
+            .get(&call.id)
+            .is_some_and(|results| results.contains(&answer.body));
         if was_made {
             served_right += 1;
         } else {
             served_wrong += 1;
-            record.print(&format!("broken: {} ({}) was answered 200 with {:?}, which no worker made for it", call.id, call.class, text(&answer.body)));
+            record.print(&format!(
+                "broken: {} ({}) was answered 200 with {:?}, which no worker made for it",
+                call.id,
+                call.class,
+                text(&answer.body)
+            ));
         }
     }
     drop(front_end);
@@ -93,5 +122,9 @@
         record.print("no call was served as it should: the case did not run");
         return Ok(NOT_RUN);
     }
-    Ok(if served_wrong + lost > 0 { BROKEN } else { HELD })
+    Ok(if served_wrong + lost > 0 {
+        BROKEN
+    } else {
+        HELD
+    })
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -39,7 +39,13 @@
     run_case(case);
 }
 
-fn usual_client(number: u64, front_end: SocketAddr, stop: &AtomicBool, record: &Record, tally: &Tally) {
+fn usual_client(
+    number: u64,
+    front_end: SocketAddr,
+    stop: &AtomicBool,
+    record: &Record,
+    tally: &Tally,
+) {
     let mut random = Random(0x5eed_0003 + number * 7919);
     let mut client = Client::new(front_end);
     while !stop.load(Ordering::Relaxed) {
@@ -52,8 +58,16 @@
             body: b"usual".to_vec(),
         };
         let answer = client.call(&call, PATIENCE);
-        record.write(&format!("usual client {number} got {:?} for {}", answer.as_ref().map(|answer| answer.status), call.id));
-        let counter = if answer.is_some_and(|answer| answer.status == 200) { &tally.served } else { &tally.not_served };
+        record.write(&format!(
+            "usual client {number} got {:?} for {}",
+            answer.as_ref().map(|answer| answer.status),
+            call.id
+        ));
+        let counter = if answer.is_some_and(|answer| answer.status == 200) {
+            &tally.served
+        } else {
+            &tally.not_served
+        };
         counter.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -98,24 +112,36 @@
 
 fn case(record: &Record, folder: &Path) -> io::Result<i32> {
     let workers = start_workers(record)?;
-    let list: Vec<Listed> = workers.iter().map(|worker| Listed::ready(&worker.name, worker.address)).collect();
+    let list: Vec<Listed> = workers
+        .iter()
+        .map(|worker| Listed::ready(&worker.name, worker.address))
+        .collect();
     let coordinator = Coordinator::start(record, &list)?;
-    let limits = Limits { memory_mb: MEMORY_MB, sockets: 256 };
+    let limits = Limits {
+        memory_mb: MEMORY_MB,
+        sockets: 256,
+    };
     let mut front_end = FrontEnd::start(folder, &coordinator, &settings(""), limits)?;
     let (tally, stop) = (Arc::new(Tally::default()), Arc::new(AtomicBool::new(false)));
     let address = front_end.address;
     let mut clients = Vec::new();
     for number in 0..USUAL {
         let (stop, record, tally) = (stop.clone(), record.clone(), tally.clone());
-        clients.push(thread::spawn(move || usual_client(number, address, &stop, &record, &tally)));
+        clients.push(thread::spawn(move || {
+            usual_client(number, address, &stop, &record, &tally)
+        }));
     }
     thread::sleep(CALM);
     let before = front_end.anonymous_memory_kib()?;
-    record.print(&format!("anonymous memory before the disruption: {before} KiB; limit {MEMORY_MB} MB"));
+    record.print(&format!(
+        "anonymous memory before the disruption: {before} KiB; limit {MEMORY_MB} MB"
+    ));
     if has_trouble() {
         for number in 0..BAD {
             let (stop, tally) = (stop.clone(), tally.clone());
-            clients.push(thread::spawn(move || bad_client(number, address, &stop, &tally)));
+            clients.push(thread::spawn(move || {
+                bad_client(number, address, &stop, &tally)
+            }));
         }
     }
     let began = Instant::now();
@@ -133,7 +159,9 @@
         let sent = tally.bad_sent.load(Ordering::Relaxed);
         if began.elapsed().as_secs() > logged {
             logged = began.elapsed().as_secs();
-            record.write(&format!("after {logged} s: {memory} KiB, {sent} requests of bad clients"));
+            record.write(&format!(
+                "after {logged} s: {memory} KiB, {sent} requests of bad clients"
+            ));
         }
         if memory > MEMORY_MB * 1024 {
             let after = began.elapsed().as_secs_f64();
@@ -151,7 +179,10 @@
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     record.print(&format!(
         "largest {largest} KiB; usual calls: {} served, {} not; bad requests: {} sent, {} served",
-        count(&tally.served), count(&tally.not_served), count(&tally.bad_sent), count(&tally.bad_served)
+        count(&tally.served),
+        count(&tally.not_served),
+        count(&tally.bad_sent),
+        count(&tally.bad_served)
     ));
     if count(&tally.served) == 0 {
         record.print("no usual call was served: the case did not run");
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")"
 mkdir -p target
 for case in [0-9]*/; do
-    rustc --edition 2021 -O -o "target/case-${case%/}" "${case}case.rs"
+    # A case uses only a part of the stand-ins.
+    rustc --edition 2021 -O -A dead_code -o "target/case-${case%/}" "${case}case.rs"
 done
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -1,15 +1,14 @@
 //! Stand-ins of the platform for the review's cases, with the standard library alone: the coordinator, workers, clients
 //! and the start of a front end by the command of the deploy file. All addresses are loopback addresses.
-#![allow(dead_code)]
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -93,13 +92,10 @@
 impl Coordinator {
     /// Starts with one event: the whole list.
     pub fn start(record: &Record, list: &[Listed]) -> io::Result<Coordinator> {
-        let first = event(1, true, list);
-        Coordinator::serve(record, Arc::new((Mutex::new(vec![first]), Condvar::new())))
-    }
-
-    fn serve(record: &Record, events: Arc<(Mutex<Vec<String>>, Condvar)>) -> io::Result<Coordinator> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
+        let first = event(1, true, list);
+        let events = Arc::new((Mutex::new(vec![first]), Condvar::new()));
         let (shared, record) = (events.clone(), record.clone());
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -110,40 +106,6 @@
         Ok(Coordinator { address, events })
     }
 
-    /// Adds an event that changes entries.
-    pub fn announce(&self, record: &Record, changes: &[Listed]) {
-        let mut events = self.events.0.lock().unwrap();
-        let index = events.len() as u64 + 1;
-        let event = event(index, false, changes);
-        record.write(&format!("coordinator has event {index}: {event}"));
-        events.push(event);
-        self.events.1.notify_all();
-    }
-
-    /// Adds several events at once, each of which changes entries.
-    pub fn announce_all(&self, record: &Record, all: &[Vec<Listed>]) {
-        let mut events = self.events.0.lock().unwrap();
-        for changes in all {
-            let index = events.len() as u64 + 1;
-            events.push(event(index, false, changes));
-        }
-        record.write(&format!("coordinator has {} more events", all.len()));
-        self.events.1.notify_all();
-    }
-
-    /// Serves the same events at another address too.
-    pub fn moved(&self, record: &Record) -> io::Result<Coordinator> {
-        Coordinator::serve(record, self.events.clone())
-    }
-
-    /// Another handle of the same coordinator, for another thread.
-    pub fn twin(&self) -> Coordinator {
-        Coordinator {
-            address: self.address,
-            events: self.events.clone(),
-        }
-    }
-
     /// All events so far, in the form of `known`.
     pub fn known(&self) -> String {
         let events = self.events.0.lock().unwrap();
@@ -165,13 +127,17 @@
 
 fn query_value(target: &str, name: &str) -> Option<u64> {
     let query = target.split_once('?')?.1;
-    let pair = query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))?;
+    let pair = query
+        .split('&')
+        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))?;
     pair.1.parse().ok()
 }
 
 fn serve_polls(socket: TcpStream, events: &(Mutex<Vec<String>>, Condvar), record: &Record) {
     let _ = socket.set_nodelay(true);
-    let Ok(reading) = socket.try_clone() else { return };
+    let Ok(reading) = socket.try_clone() else {
+        return;
+    };
     let mut lines = BufReader::new(reading);
     let mut socket = socket;
     loop {
@@ -238,7 +204,10 @@
         return Ok(None);
     }
     let invalid = || io::Error::from(ErrorKind::InvalidData);
-    let digits = line.strip_prefix(&[kind]).and_then(|rest| rest.strip_suffix(b"\r\n")).ok_or_else(invalid)?;
+    let digits = line
+        .strip_prefix(&[kind])
+        .and_then(|rest| rest.strip_suffix(b"\r\n"))
+        .ok_or_else(invalid)?;
     let text = std::str::from_utf8(digits).map_err(|_| invalid())?;
     text.parse().map(Some).map_err(|_| invalid())
 }
@@ -261,7 +230,9 @@
 /// The value of a field in a list `name=value,name=value`.
 pub fn field(fields: &[u8], name: &str) -> Option<String> {
     let fields = text(fields);
-    let pair = fields.split(',').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))?;
+    let pair = fields
+        .split(',')
+        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))?;
     Some(pair.1.to_string())
 }
 
@@ -288,19 +259,27 @@
 pub struct Fired {
     pub id: String,
     pub function: String,
-    pub class: String,
-    pub patience_ms: u64,
     pub body: Vec<u8>,
 }
 
 /// The bytes by which a sound worker answers a call that it ran.
 pub fn served(fired: &Fired, result: &[u8]) -> Vec<u8> {
-    array(&[fired.id.as_bytes(), b"200", b"n=ready,l=util:0.2;inflight:1;x0:0.1;x1:0", result])
+    array(&[
+        fired.id.as_bytes(),
+        b"200",
+        b"n=ready,l=util:0.2;inflight:1;x0:0.1;x1:0",
+        result,
+    ])
 }
 
 /// What a worker made of a call: part of it names the call, so that no two are the same.
 pub fn result_of(worker: &str, fired: &Fired) -> Vec<u8> {
-    format!("result of {} by {worker} for {}", fired.id, text(&fired.body)).into_bytes()
+    format!(
+        "result of {} by {worker} for {}",
+        fired.id,
+        text(&fired.body)
+    )
+    .into_bytes()
 }
 
 /// The ids of functions that exist nowhere begin with this.
@@ -313,35 +292,49 @@
     pub name: String,
     pub address: SocketAddr,
     loaded: Arc<Mutex<HashSet<String>>>,
-    pub links: Arc<Mutex<Vec<WorkerLink>>>,
 }
 
 impl Worker {
     /// Starts a worker. `on_call` runs and answers a call whose function is loaded, on a thread of its own.
-    pub fn start(record: &Record, name: &str, load: Duration, on_call: OnCall) -> io::Result<Worker> {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        load: Duration,
+        on_call: OnCall,
+    ) -> io::Result<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let worker = Worker {
             name: name.to_string(),
             address: listener.local_addr()?,
             loaded: Arc::default(),
-            links: Arc::default(),
         };
-        let (name, loaded, links, record) = (worker.name.clone(), worker.loaded.clone(), worker.links.clone(), record.clone());
+        let (name, loaded, record) = (worker.name.clone(), worker.loaded.clone(), record.clone());
         thread::spawn(move || {
             for (number, socket) in listener.incoming().flatten().enumerate() {
                 let _ = socket.set_nodelay(true);
-                let Ok(reading) = socket.try_clone() else { continue };
+                let Ok(reading) = socket.try_clone() else {
+                    continue;
+                };
                 let link = WorkerLink {
                     worker: name.clone(),
                     number: number as u64 + 1,
                     socket: Arc::new(Mutex::new(socket)),
                 };
-                links.lock().unwrap().push(link.clone());
                 record.write(&format!("{name} connection {}: open", link.number));
                 let (loaded, record, on_call) = (loaded.clone(), record.clone(), on_call.clone());
                 thread::spawn(move || {
-                    serve_link(&link, BufReader::new(reading), &loaded, load, &record, &on_call);
-                    record.write(&format!("{} connection {}: ended", link.worker, link.number));
+                    serve_link(
+                        &link,
+                        BufReader::new(reading),
+                        &loaded,
+                        load,
+                        &record,
+                        &on_call,
+                    );
+                    record.write(&format!(
+                        "{} connection {}: ended",
+                        link.worker, link.number
+                    ));
                     link.close();
                 });
             }
@@ -366,8 +359,6 @@
                 let fired = Fired {
                     id: text(word(1)),
                     function: field(word(2), "asset").unwrap_or_default(),
-                    class: field(word(2), "sort").unwrap_or_default(),
-                    patience_ms: field(word(2), "patience").and_then(|value| value.parse().ok()).unwrap_or(0),
                     body: word(3).to_vec(),
                 };
                 record.write(&format!("{place}: fire {} {}", fired.id, text(word(2))));
@@ -380,7 +371,9 @@
             }
             b"provision" => {
                 let function = field(word(2), "asset").unwrap_or_default();
-                let replicas = field(word(2), "replicas").and_then(|value| value.parse().ok()).unwrap_or(0u32);
+                let replicas = field(word(2), "replicas")
+                    .and_then(|value| value.parse().ok())
+                    .unwrap_or(0u32);
                 record.write(&format!("{place}: provision {}", text(word(2))));
                 let (link, loaded, tag) = (link.clone(), loaded.clone(), word(1).to_vec());
                 thread::spawn(move || {
@@ -392,7 +385,11 @@
                     let stand = u32::from(loaded.lock().unwrap().contains(&function));
                     let fields = format!("replicas={stand}");
                     // The load of a function that does not exist fails.
-                    let word: &[u8] = if exists || replicas == 0 { b"200" } else { b"500" };
+                    let word: &[u8] = if exists || replicas == 0 {
+                        b"200"
+                    } else {
+                        b"500"
+                    };
                     link.write(&array(&[&tag, word, fields.as_bytes(), b""]));
                 });
             }
@@ -443,7 +440,10 @@
 
 impl Client {
     pub fn new(front_end: SocketAddr) -> Client {
-        Client { front_end, socket: None }
+        Client {
+            front_end,
+            socket: None,
+        }
     }
 
     /// Sends a call and waits for its answer until `patience` after its time; none if the connection ended without a
@@ -477,8 +477,20 @@
     loop {
         if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
             let head = text(&bytes[..end]).to_ascii_lowercase();
-            let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(ErrorKind::InvalidData)?;
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse::<usize>().ok()).unwrap_or(0);
+            let status = head
+                .split(' ')
+                .nth(1)
+                .and_then(|status| status.parse().ok())
+                .ok_or(ErrorKind::InvalidData)?;
+            let length = head
+                .lines()
+                .find_map(|line| {
+                    line.strip_prefix("content-length:")?
+                        .trim()
+                        .parse::<usize>()
+                        .ok()
+                })
+                .unwrap_or(0);
             if bytes.len() >= end + 4 + length {
                 let body = bytes[end + 4..end + 4 + length].to_vec();
                 return Ok((Answer { status, body }, !head.contains("connection: close")));
@@ -496,7 +508,7 @@
     }
 }
 
-/// The settings of a small deployment: one front end, two zones, one machine kind, a class of each effect.
+/// The settings of a small deployment: one front end, two zones, one machine kind, a class that is safe to repeat and one that is not.
 pub fn settings(more_policy: &str) -> String {
     format!(
         r#"{{"me":0,"siblings":1,"locality":0,"zones":["a","b"],"machine_types":["std"],"discovery":"pushed","family":"warm","value_by":"request","weights":"rough",
@@ -518,14 +530,15 @@
 }
 
 /// The most that a front end has on the days that are scored.
-pub const LARGEST: Limits = Limits { memory_mb: 192, sockets: 1024 };
+pub const LARGEST: Limits = Limits {
+    memory_mb: 192,
+    sockets: 1024,
+};
 
 /// A front end, started by the command `run` of the deploy file.
 pub struct FrontEnd {
     pub address: SocketAddr,
     pub child: Child,
-    pub folder: PathBuf,
-    pub config: PathBuf,
 }
 
 /// A loopback address that is free now, on an address of 127.0.0.0/8 that nothing else here uses.
@@ -533,28 +546,57 @@
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let pid = u64::from(std::process::id());
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let host = format!("127.{}.{}.{}:0", 64 + (number % 64), (pid >> 8) & 0xff, 1 + (pid & 0xff) % 254);
+    let host = format!(
+        "127.{}.{}.{}:0",
+        64 + (number % 64),
+        (pid >> 8) & 0xff,
+        1 + (pid & 0xff) % 254
+    );
     TcpListener::bind(host)?.local_addr()
 }
 
 /// The command `run` of `deploy/balancer.toml`.
 pub fn run_command() -> io::Result<String> {
     let text = std::fs::read_to_string("deploy/balancer.toml")?;
-    let line = text.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
     line.map(str::to_string).ok_or(ErrorKind::NotFound.into())
 }
 
 impl FrontEnd {
     /// Starts a front end and waits until it answers `GET /alive` with 200.
-    pub fn start(folder: &Path, coordinator: &Coordinator, settings: &str, limits: Limits) -> io::Result<FrontEnd> {
+    pub fn start(
+        folder: &Path,
+        coordinator: &Coordinator,
+        settings: &str,
+        limits: Limits,
+    ) -> io::Result<FrontEnd> {
         let address = free_address()?;
-        FrontEnd::start_at(folder, address, coordinator.address, &coordinator.known(), settings, limits)
+        FrontEnd::start_at(
+            folder,
+            address,
+            coordinator.address,
+            &coordinator.known(),
+            settings,
+            limits,
+        )
     }
 
-    pub fn start_at(folder: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, limits: Limits) -> io::Result<FrontEnd> {
+    pub fn start_at(
+        folder: &Path,
+        address: SocketAddr,
+        coordinator: SocketAddr,
+        known: &str,
+        settings: &str,
+        limits: Limits,
+    ) -> io::Result<FrontEnd> {
         let config = folder.join("config.json");
         write_config(&config, address, coordinator, known, settings, limits)?;
-        let log = File::options().create(true).append(true).open(folder.join("front-end.log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join("front-end.log"))?;
         let child = Command::new("/bin/sh")
             .args(["-c", &run_command()?])
             .env("EDGE_NAME", "n0")
@@ -565,7 +607,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let mut front_end = FrontEnd { address, child, folder: folder.to_path_buf(), config };
+        let mut front_end = FrontEnd { address, child };
         let until = Instant::now() + Duration::from_secs(30);
         while Instant::now() < until {
             if front_end.is_alive() {
@@ -582,7 +624,8 @@
     pub fn is_alive(&self) -> bool {
         let ask = || -> io::Result<bool> {
             let socket = TcpStream::connect(self.address)?;
-            (&socket).write_all(b"GET /alive HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")?;
+            (&socket)
+                .write_all(b"GET /alive HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")?;
             let (answer, _) = read_answer(&socket, Instant::now() + Duration::from_secs(2))?;
             Ok(answer.status == 200)
         };
@@ -592,16 +635,22 @@
     /// The anonymous memory that the front end's process has in use, in KiB.
     pub fn anonymous_memory_kib(&self) -> io::Result<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")?.trim().strip_suffix("kB"));
-        line.and_then(|number| number.trim().parse().ok()).ok_or(ErrorKind::InvalidData.into())
-    }
-
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
-    }
-}
-
-pub fn write_config(path: &Path, address: SocketAddr, coordinator: SocketAddr, known: &str, settings: &str, limits: Limits) -> io::Result<()> {
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:")?.trim().strip_suffix("kB"));
+        line.and_then(|number| number.trim().parse().ok())
+            .ok_or(ErrorKind::InvalidData.into())
+    }
+}
+
+pub fn write_config(
+    path: &Path,
+    address: SocketAddr,
+    coordinator: SocketAddr,
+    known: &str,
+    settings: &str,
+    limits: Limits,
+) -> io::Result<()> {
     let Limits { memory_mb, sockets } = limits;
     let new = path.with_extension("new");
     std::fs::write(
@@ -647,8 +696,14 @@
 
 /// Runs a case in a temporary folder with its record, and ends with its exit code.
 pub fn run_case(case: impl FnOnce(&Record, &Path) -> io::Result<i32>) -> ! {
-    let record_path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_string());
-    let folder = std::env::temp_dir().join(format!("review-{}-{:x}", std::process::id(), Instant::now().elapsed().as_nanos()));
+    let record_path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".to_string());
+    let folder = std::env::temp_dir().join(format!(
+        "review-{}-{:x}",
+        std::process::id(),
+        Instant::now().elapsed().as_nanos()
+    ));
     let outcome = std::fs::create_dir_all(&folder)
         .and_then(|()| Record::create(Path::new(&record_path)))
         .and_then(|record| case(&record, &folder));
@@ -661,7 +716,3 @@
         }
     }
 }
-
-/// Flags and counters shared between the threads of a case.
-pub type Flag = Arc<AtomicBool>;
-pub type Counts = Arc<Mutex<HashMap<String, u32>>>;
