--- a/tests/compatibility/tests/text_wires.rs
+++ b/tests/compatibility/tests/text_wires.rs
@@ -261,7 +261,10 @@
         trailers: trailers(cache_status, never_ran),
     };
     let read = |status: &str, fields: &str| {
-        tansy_platform::parse_reply(status.as_bytes(), fields.as_bytes(), true)
+        let strings: [&[u8]; 4] = [b"tag", status.as_bytes(), fields.as_bytes(), b"body"];
+        let answer = tansy_platform::parse_answer(&strings, true).expect("an answer");
+        assert_eq!((answer.tag, answer.body), (&b"tag"[..], &b"body"[..]));
+        answer.reply
     };
     for (status, code, stage, never_ran) in [
         ("200", 0, ResponseStage::Last, None),
