Functions that callers make up are forgotten first, within a share of the memory

Cause: each call made what is known of its function, kept for 45 s whatever became of the call, in the router (Router::on_arrival, forget_unused) and in the dispatcher (resolve_function, remove_unused_names), without a limit on their number. Evidence: totals with sizes added, on the code before: after 174,721 calls 174,581 functions and as many names, 59 instances, held=[1, 1, 0, 3]; so neither instances' entries, nor open calls, orders or timers.

Change: Settings::memory_limit, the plain fact, from limits.memory_mb; src/router/retention.rs remembers as many functions as an eighth of it holds. Functions in use stay; of the idle ones the unconfirmed go first, those that no worker has served or loaded, so that any number of made-up names costs the usual callers nothing of what is known. The dispatcher follows the router instead of keeping times of its own (the retention stood twice), and a refused call leaves no name. Each call costs two ordered sets; names are removed in one pass when they have doubled. totals tell the sizes.

--- a/decide/dispatch/src/config.rs
+++ b/decide/dispatch/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a dispatcher.
 
+use crate::message::FunctionShape;
 use crate::names::{NameCollision, NameTable};
 use std::collections::BTreeSet;
 use tansyrouter::{InvalidSettings, Micros, Router, Settings, Time};
@@ -22,6 +23,17 @@
     pub versions: Vec<String>,
 }
 
+impl FunctionSpec {
+    /// Its resource requirements.
+    pub fn shape(&self) -> FunctionShape {
+        FunctionShape {
+            lanes: self.lanes,
+            memory_mb: self.memory_mb,
+            load_time: self.load_time,
+        }
+    }
+}
+
 /// The configuration of a dispatcher.
 #[derive(Clone, Debug)]
 pub struct DispatchConfig {
--- a/decide/dispatch/src/request_table.rs
+++ b/decide/dispatch/src/request_table.rs
@@ -40,7 +40,7 @@
 use crate::names::NameTable;
 use crate::pending_lookups::PendingLookups;
 use entries::{ControlRequest, FunctionActivity, OpenCall, TimerEvent, UndeliverableLoad};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use tansy_timer_wheel::Wheel;
 use tansyrouter::{
     Action, Event, FunctionId, ListKind, Micros, Router, Time, WorkerId, WorkerState, SECOND,
@@ -65,9 +65,11 @@
     now: Time,
     function_names: NameTable,
     function_specs: HashMap<FunctionId, FunctionSpec>,
-    /// Functions learned from calls, with the time of the last use by a call or a control request.
-    learned_functions: HashMap<FunctionId, Time>,
+    /// Functions learned from calls.
+    learned_functions: HashSet<FunctionId>,
     next_cleanup: Time,
+    /// The number of learned functions that the last removal of unused names left.
+    learned_after_cleanup: usize,
     undeliverable_loads: Vec<UndeliverableLoad>,
     worker_names: NameTable,
     worker_states: BTreeMap<WorkerId, WorkerState>,
@@ -110,8 +112,9 @@
             now,
             function_names,
             function_specs,
-            learned_functions: HashMap::new(),
+            learned_functions: HashSet::new(),
             next_cleanup: now,
+            learned_after_cleanup: 0,
             undeliverable_loads: Vec::new(),
             worker_names: NameTable::default(),
             worker_states: BTreeMap::new(),
@@ -141,10 +144,7 @@
         self.expire_pending_lookups(commands);
         self.on_input(input, commands);
         self.report_undeliverable_loads(commands);
-        if self.now >= self.next_cleanup {
-            self.next_cleanup = self.now.plus(CLEANUP_INTERVAL);
-            self.remove_unused_names();
-        }
+        self.remove_unused_names_if_due();
     }
 
     fn on_input(&mut self, input: Input, commands: &mut Vec<Command>) {
--- a/decide/dispatch/src/request_table/admission.rs
+++ b/decide/dispatch/src/request_table/admission.rs
@@ -1,11 +1,10 @@
 //! Admission of calls: immediate refusals, and the budget of an admitted call.
 
 use super::entries::{OpenCall, ResolvedFunction, TimerEvent};
+use super::functions::CalledFunction;
 use super::{Dispatcher, TIMER_TICK};
-use crate::config::FunctionSpec;
 use crate::message::{Answer, Call, CallId, Command};
-use crate::names::name_hash;
-use tansyrouter::{Arrival, Event, FunctionId, Micros, RequestId, Time};
+use tansyrouter::{Arrival, Event, Micros, RequestId, Time};
 
 /// The budget of a call divided by this is reserved for delivering the answer.
 const RESERVE_DIVISOR: Micros = 16;
@@ -15,17 +14,17 @@
 const MIN_RESERVE: Micros = 2 * TIMER_TICK;
 
 /// The event that announces an admitted call to the router.
-fn arrival(call: &Call, spec: &FunctionSpec, class: usize, budget: Micros) -> Arrival {
+fn arrival(call: &Call, function: &CalledFunction, class: usize, budget: Micros) -> Arrival {
     Arrival {
         request: RequestId(call.id.0),
-        function: FunctionId(name_hash(&spec.name)),
+        function: function.id,
         class,
         tenant: call.tenant,
         budget,
         work_hint: call.work_hint,
-        lanes: spec.lanes,
-        memory_mb: spec.memory_mb,
-        load_time: spec.load_time,
+        lanes: function.shape.lanes,
+        memory_mb: function.shape.memory_mb,
+        load_time: function.shape.load_time,
         is_client_retry: call.repeat,
     }
 }
@@ -51,14 +50,11 @@
         if let Some(resolved) = resolved {
             call.shape = Some(resolved.shape);
         }
-        let spec = self
-            .resolve_function(&call)
-            .and_then(|function| self.function_specs.get(&function));
-        let Some(spec) = spec else {
+        let Some(function) = self.called_function(&call) else {
             return self.answer_unknown_function(id, commands);
         };
         let settings = &self.config.settings;
-        let function_class = resolved.map_or(spec.class, |resolved| resolved.class);
+        let function_class = resolved.map_or(function.class, |resolved| resolved.class);
         let arrived = Time(self.now.0 - waited);
         self.counters.accepted += 1;
         // Nothing was sent, so a refusal is safe for every class. During shutdown the client may retry at once at
@@ -89,7 +85,8 @@
             let retry_after = resolved.map_or(0, |_| self.conflict_retry_after());
             return self.refuse_admission(id, class, retry_after, arrived, commands);
         }
-        let arrival = arrival(&call, spec, class, budget);
+        self.learn_function(&function, &call.function);
+        let arrival = arrival(&call, &function, class, budget);
         self.open_call(id, arrival, arrived, commands);
     }
 
--- a/decide/dispatch/src/request_table/attempts.rs
+++ b/decide/dispatch/src/request_table/attempts.rs
@@ -160,11 +160,12 @@
         }
         let answered = call.answered;
         let function = call.function;
-        self.mark_used(function);
         self.counters.attempt_outcomes[outcome_index(outcome)] += 1;
         if outcome == Outcome::Served {
-            let activity = self.function_activity.entry(function).or_default();
-            activity.warm_at = Some(self.now);
+            let now = self.now;
+            if let Some(activity) = self.activity_mut(function) {
+                activity.warm_at = Some(now);
+            }
         }
         // Once a response has started, the client cannot receive another one, so the end of this attempt is final.
         let ends_call =
--- a/decide/dispatch/src/request_table/control_requests.rs
+++ b/decide/dispatch/src/request_table/control_requests.rs
@@ -34,7 +34,6 @@
             }
             return;
         };
-        self.mark_used(function);
         let request = self.register_control_request(kind, worker, function, instances);
         self.count_control_request(kind, function, instances);
         commands.push(match kind {
@@ -90,7 +89,9 @@
             ControlKind::Probe => self.counters.probes += 1,
             ControlKind::Load if instances > 0 => {
                 self.counters.loads += 1;
-                self.function_activity.entry(function).or_default().loading += 1;
+                if let Some(activity) = self.activity_mut(function) {
+                    activity.loading += 1;
+                }
             }
             ControlKind::Load => self.counters.instance_queries += 1,
             ControlKind::Unload => self.counters.unloads += 1,
@@ -116,7 +117,6 @@
             _ if request.cancelled => Outcome::TimedOut,
             _ => classify(observed, &trailers).outcome,
         };
-        self.mark_used(request.function);
         match request.kind {
             ControlKind::Probe => {
                 let event = Event::ProbeEnded {
@@ -147,12 +147,16 @@
         instances: u32,
         commands: &mut Vec<Command>,
     ) {
-        let activity = self.function_activity.entry(load.function).or_default();
-        if load.instances > 0 {
-            activity.loading = activity.loading.saturating_sub(1);
+        let now = self.now;
+        if let Some(activity) = self.activity_mut(load.function) {
+            if load.instances > 0 {
+                activity.loading = activity.loading.saturating_sub(1);
+            }
+            if instances > 0 {
+                activity.warm_at = Some(now);
+            }
         }
         if instances > 0 {
-            activity.warm_at = Some(self.now);
             self.load_failures.on_successful_load(load.worker);
         } else if load.instances > 0 || outcome != Outcome::Served {
             self.on_load_without_effect(load, observed, commands);
--- a/decide/dispatch/src/request_table/lookups.rs
+++ b/decide/dispatch/src/request_table/lookups.rs
@@ -12,7 +12,7 @@
     pub fn is_configured(&self, function: &str) -> bool {
         self.function_names
             .find(function)
-            .is_some_and(|id| !self.learned_functions.contains_key(&FunctionId(id)))
+            .is_some_and(|id| !self.learned_functions.contains(&FunctionId(id)))
     }
 
     /// Functions whose calls wait for a lookup.
--- a/decide/dispatch/src/request_table/queries.rs
+++ b/decide/dispatch/src/request_table/queries.rs
@@ -6,7 +6,7 @@
 use crate::counters::Counters;
 use crate::message::CallId;
 use std::collections::BTreeMap;
-use tansyrouter::{Class, FunctionId, Time, WorkerState};
+use tansyrouter::{Class, FunctionId, FunctionTableSizes, Time, WorkerState};
 
 impl Dispatcher {
     /// When the next [`Input::Tick`](crate::Input::Tick) is due, unless another input comes first.
@@ -99,6 +99,14 @@
             .collect()
     }
 
+    /// What the router remembers of functions, and the number of their names here. Visits every function.
+    pub fn function_table_sizes(&self) -> (FunctionTableSizes, usize) {
+        (
+            self.router.function_table_sizes(),
+            self.function_names.len(),
+        )
+    }
+
     /// The number of known function names and worker names.
     pub fn name_counts(&self) -> (usize, usize) {
         (self.function_names.len(), self.worker_names.len())
--- a/decide/dispatch/src/request_table/settings.rs
+++ b/decide/dispatch/src/request_table/settings.rs
@@ -202,7 +202,7 @@
         for spec in previous.iter().filter(|spec| !named(&spec.name)) {
             let id = FunctionId(name_hash(&spec.name));
             self.function_specs.remove(&id);
-            self.learned_functions.insert(id, self.now);
+            self.learned_functions.insert(id);
         }
     }
 
--- a/decide/dispatch/tests/request_table.rs
+++ b/decide/dispatch/tests/request_table.rs
@@ -262,3 +262,60 @@
         "{max_added:?} of 400 functions and workers"
     );
 }
+
+// Guards against a front end that is killed for memory: the names of functions that callers make up were kept for 45 s.
+#[test]
+fn names_of_made_up_functions_stay_few_without_waiting_for_a_cleanup() {
+    let mut config = config(1);
+    config.settings.memory_limit = Some(32_000_000);
+    let mut dispatcher = Dispatcher::new(config, Time(0)).expect("settings that make sense");
+    let configured = dispatcher.name_counts().0;
+    let mut commands = Vec::new();
+    let list = worker_list(vec![worker("w", WorkerState::Ready)]);
+    dispatcher.step(Time(0), list, &mut commands);
+    let (calls, mut most) = (50_000, 0);
+    for number in 0..calls {
+        let mut input = call_with_shape(number, &format!("f{number}"));
+        if let Input::Call(call) = &mut input {
+            call.budget = Some(SECOND / 200);
+        }
+        // All of them within one cleanup interval.
+        let now = Time((number * 10) as i64);
+        commands.clear();
+        dispatcher.step(now, input, &mut commands);
+        let loads = std::mem::take(&mut commands);
+        for command in loads {
+            if let Command::Load { request, .. } = command {
+                let failed = Input::ControlRequestEnded {
+                    request,
+                    outcome: AttemptOutcome::ConnectRefused,
+                    trailers: Trailers::default(),
+                };
+                dispatcher.step(now, failed, &mut commands);
+            }
+        }
+        most = most.max(dispatcher.name_counts().0 - configured);
+    }
+    let (sizes, _) = dispatcher.function_table_sizes();
+    // An eighth of the memory, at 2 KiB a function.
+    let limit = 32_000_000 / 8 / 2048;
+    assert!(
+        sizes.functions <= limit && most <= 2 * limit + 100,
+        "{sizes:?} and {most} names after {calls} calls"
+    );
+}
+
+#[test]
+fn names_of_refused_calls_are_not_kept() {
+    let mut config = config(1);
+    config.settings.max_open_requests = 0;
+    let mut dispatcher = Dispatcher::new(config, Time(0)).expect("settings that make sense");
+    let configured = dispatcher.name_counts().0;
+    let mut commands = Vec::new();
+    for number in 0..100 {
+        let input = call_with_shape(number, &format!("f{number}"));
+        dispatcher.step(Time(0), input, &mut commands);
+    }
+    assert_eq!(answers(&commands).len(), 100);
+    assert_eq!(dispatcher.name_counts().0, configured);
+}
--- a/programs/gateway/src/platform/mod.rs
+++ b/programs/gateway/src/platform/mod.rs
@@ -22,7 +22,7 @@
 use tansy_net_sockets::socket::{descriptor_limit, listen, retry};
 use tansy_net_sockets::{io_error, Spawner};
 use tansy_platform::{Config, EndpointList};
-use tansyrouter::{Micros, Time};
+use tansyrouter::{Micros, Settings, Time};
 
 /// Lower bound of the longest call time that is assumed, microseconds.
 const MIN_DEADLINE: Micros = 3_000_000;
@@ -128,7 +128,10 @@
 
 /// The dispatcher's configuration.
 fn dispatch_config(config: &Config) -> Result<DispatchConfig, PlatformError> {
-    let settings = tansy_conf::router_settings(&config.settings)?;
+    let settings = Settings {
+        memory_limit: config.limits.memory_bytes(),
+        ..tansy_conf::router_settings(&config.settings)?
+    };
     let deadlines = settings.classes.iter().map(|class| class.deadline);
     let max_call_time = deadlines.max().unwrap_or(0).max(MIN_DEADLINE);
     let classes = config.settings.classes.iter();
@@ -154,7 +157,14 @@
             let (account, open) = driver.counters();
             let violations = driver.violations();
             let reasons = &driver.reasons;
-            tracing::info!(%account, open, violations, %reasons, held = ?driver.table_sizes(), "totals");
+            let (sizes, names) =
+                driver.with_dispatcher(|dispatcher| dispatcher.function_table_sizes());
+            tracing::info!(
+                %account, open, violations, %reasons, held = ?driver.table_sizes(),
+                functions = sizes.functions, instances = sizes.instances,
+                ranked_workers = sizes.ranked_workers, function_names = names,
+                "totals"
+            );
         }
     }
 }
--- a/programs/gateway/tests/platform/harness/process.rs
+++ b/programs/gateway/tests/platform/harness/process.rs
@@ -156,6 +156,13 @@
     pub fn cpu_ticks(&self) -> u64 {
         cpu_ticks(self.child.id())
     }
+    /// Anonymous memory that the process has in use, KiB.
+    pub fn anonymous_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+        let number = line.and_then(|l| l.trim().strip_suffix("kB"));
+        number.expect("a size").trim().parse().expect("a number")
+    }
     /// Number of open descriptors.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -16,5 +16,6 @@
 mod shutdown;
 mod suspension;
 mod together;
+mod unknown_functions;
 mod watch;
 mod worker_answers;
--- a/protocol/conf/src/convert.rs
+++ b/protocol/conf/src/convert.rs
@@ -67,6 +67,8 @@
         },
         connect_timeout: micros(limits.connect_timeout_s),
         miss_policy: miss_policy(specifics),
+        // The settings do not state it.
+        memory_limit: None,
         idle_timeout: micros(specifics.idle_life_s),
         load_timeout: micros(specifics.load_wait_s),
         load_budget: load_budget(specifics),
--- a/protocol/platform/src/config.rs
+++ b/protocol/platform/src/config.rs
@@ -18,6 +18,16 @@
     pub sockets: usize,
 }
 
+/// The unit of [`Limits::memory_mb`], bytes.
+const MEGABYTE: f64 = 1_000_000.0;
+
+impl Limits {
+    /// The memory that the front end may use, in bytes; `None` if no limit is stated.
+    pub fn memory_bytes(&self) -> Option<u64> {
+        (self.memory_mb > 0.0).then_some((self.memory_mb * MEGABYTE) as u64)
+    }
+}
+
 /// The configuration file. Unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
--- a/settings/src/read/router.rs
+++ b/settings/src/read/router.rs
@@ -36,6 +36,8 @@
         max_open_requests: usize::try_from(front.int("max_held")?).ok()?,
         connect_timeout: worker.int("connect_timeout")?,
         miss_policy: miss_policy(worker)?,
+        // Callers can only name functions of the settings, which limit the memory.
+        memory_limit: None,
         idle_timeout: worker.int("idle_life")?,
         load_timeout: worker.int("order_timeout")?,
         load_budget: load_budget(worker)?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,7 +37,7 @@
 pub use action::Action;
 pub use event::{Arrival, AttemptResult, Event, InstanceStatus, Outcome};
 pub use id::{FunctionId, RequestId, WorkerId};
-pub use router::Router;
+pub use router::{FunctionTableSizes, Router};
 pub use settings::{
     Class, DedupGroup, Effect, InvalidSettings, LoadBudget, MissPolicy, Reports, Settings, Tenant,
 };
--- a/src/router/instances.rs
+++ b/src/router/instances.rs
@@ -122,6 +122,14 @@
     pub(super) service_time: Option<f64>,
     pub(super) mean_work_hint: f64,
     pub(super) recent_calls: DecayingSum,
+    /// Requests that are open.
+    pub(super) open_requests: usize,
+    /// Loads in progress.
+    pub(super) pending_loads: usize,
+    /// A worker has served a call of it or reported an instance of it.
+    pub(super) confirmed: bool,
+    /// It is one of the router's idle functions.
+    pub(super) idle: bool,
     /// Estimated number of workers that need an instance, from the concurrency that answers report.
     pub(super) estimated_instances: f64,
     pub(super) instances: BTreeMap<WorkerId, Instance>,
@@ -271,6 +279,7 @@
         let Some(function) = self.functions.get_mut(&ended.function) else {
             return;
         };
+        function.confirmed |= outcome == Outcome::Served;
         let instance = function.instances.entry(ended.worker).or_default();
         if instance.on_attempt_end(now, outcome, ended.expected.time) {
             self.load_without_effect(now, ended.worker, ended.function, true);
--- a/src/router/loading.rs
+++ b/src/router/loading.rs
@@ -178,7 +178,12 @@
         if let Some(worker) = self.workers.get_mut(&worker_id) {
             worker.trial_allowed = false;
         }
-        self.instance_mut(function_id, worker_id).load_requested = Some(now);
+        self.start_use(function_id);
+        let instance = self.instance_mut(function_id, worker_id);
+        let is_first = instance.load_requested.replace(now).is_none();
+        if let Some(function) = self.functions.get_mut(&function_id) {
+            function.pending_loads += usize::from(is_first);
+        }
         actions.push(Action::Load {
             worker: worker_id,
             function: function_id,
@@ -253,11 +258,16 @@
         use Outcome::{ConnectFailed, ConnectionLost, Error, Rejected, Served, TimedOut};
         let answered = matches!(result.outcome, Served | Rejected | Error);
         self.on_probe_result(result.worker, answered);
+        self.start_use(result.function);
         let Some(function) = self.functions.get_mut(&result.function) else {
             return;
         };
+        function.confirmed |= result.instances > 0;
         let instance = function.instances.entry(result.worker).or_default();
         let load_requested = instance.load_requested.take();
+        if load_requested.is_some() {
+            function.pending_loads = function.pending_loads.saturating_sub(1);
+        }
         if result.outcome != ConnectionLost {
             instance.on_reported_count(now, result.outcome, result.instances);
         }
@@ -272,6 +282,7 @@
             self.learn_load_time(now, &result);
         }
         self.dispatch_queue(now, result.function, actions);
+        self.end_use(result.function);
     }
 
     /// Decides whether an instance is presumed to be loaded although the connection of its load request was lost;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod random;
 mod request;
+mod retention;
 mod retry;
 mod selection;
 mod workers;
@@ -30,6 +31,8 @@
 use self::instances::{Function, Instance};
 use self::loading::{LoadResult, LoadState};
 use self::request::Request;
+pub use self::retention::FunctionTableSizes;
+use self::retention::IdleFunctions;
 use self::workers::Worker;
 use crate::{
     Action, Event, FunctionId, InvalidSettings, Micros, Outcome, RequestId, Settings, Time,
@@ -63,6 +66,7 @@
 
     workers: BTreeMap<WorkerId, Worker>,
     functions: BTreeMap<FunctionId, Function>,
+    idle_functions: IdleFunctions,
     requests: BTreeMap<RequestId, Request>,
     /// Functions whose queues are not empty.
     functions_waiting: BTreeSet<FunctionId>,
@@ -222,7 +226,7 @@
                 || now.since(instance.last_activity()) <= forget_after
         };
         let function_in_use = |function: &Function| {
-            !function.queue.is_empty()
+            function.is_in_use()
                 || !function.instances.is_empty()
                 || now.since(function.recent_calls.updated_at) < forget_after
         };
@@ -238,8 +242,13 @@
                 .instances
                 .retain(|_, instance| instance_in_use(instance));
         }
-        self.functions
-            .retain(|_, function| function_in_use(function));
+        self.functions.retain(|id, function| {
+            let keep = function_in_use(function);
+            if !keep {
+                self.idle_functions.remove(*id, function);
+            }
+            keep
+        });
         self.workers.retain(|_, worker| worker_in_use(worker));
     }
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -59,7 +59,13 @@
         let class = arrival.class.min(self.settings.classes.len() - 1);
         let work_hint = arrival.work_hint.filter(|hint| *hint > 0);
         let window = self.rate_window();
+        if self.functions.contains_key(&arrival.function) {
+            self.start_use(arrival.function);
+        } else {
+            self.make_room_for_function();
+        }
         let function = self.functions.entry(arrival.function).or_default();
+        function.open_requests += 1;
         function.on_arrival(now, &arrival, class, work_hint, window);
         let deadline = now.plus(arrival.budget.max(0));
         let request = Request {
@@ -125,10 +131,20 @@
             request.concluded = true;
             self.deadlines.remove(&(request.deadline, request_id));
             if !request.has_pending_attempt() {
-                self.requests.remove(&request_id);
+                self.remove_request(request_id);
             }
         }
     }
+
+    fn remove_request(&mut self, request_id: RequestId) {
+        let Some(request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        if let Some(function) = self.functions.get_mut(&request.function) {
+            function.open_requests = function.open_requests.saturating_sub(1);
+        }
+        self.end_use(request.function);
+    }
 }
 
 impl Function {
--- a/src/router/selection.rs
+++ b/src/router/selection.rs
@@ -283,7 +283,8 @@
             .ready_workers()
             .map(|(id, _)| (rendezvous_score(function_id, *id, 1.0), *id));
         order.revision = self.configuration_revision;
-        order.workers = ranked.collect();
+        order.workers = Vec::with_capacity(self.ready_count as usize);
+        order.workers.extend(ranked);
         order
             .workers
             .sort_by(|left, right| right.0.total_cmp(&left.0));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,6 +127,8 @@
     pub connect_timeout: Micros,
     /// What a worker does with a call of a function that is not loaded there.
     pub miss_policy: MissPolicy,
+    /// The memory that the process may use, in bytes; `None` if it is not limited.
+    pub memory_limit: Option<u64>,
     /// How long an idle instance stays loaded at least.
     pub idle_timeout: Micros,
     /// The timeout of load requests.
@@ -195,6 +197,7 @@
             max_retry_after: 0,
             connect_timeout: SECOND / 4,
             miss_policy: MissPolicy::Load,
+            memory_limit: None,
             idle_timeout: 10 * SECOND,
             load_timeout: 10 * SECOND,
             load_budget: None,
--- a/tests/compatibility/tests/text_wires.rs
+++ b/tests/compatibility/tests/text_wires.rs
@@ -97,6 +97,7 @@
         (limits.cores, limits.memory_mb, limits.sockets),
         (2.0, 512.0, 1024)
     );
+    assert_eq!(limits.memory_bytes(), Some(512_000_000));
     let settings = &config.settings;
     assert_eq!(settings.zones, ["west", "east"]);
     assert_eq!(settings.machine_types, ["std", "big"]);
@@ -167,6 +168,7 @@
         max_retry_after: 8_000_000,
         connect_timeout: 500_000,
         miss_policy: MissPolicy::Miss,
+        memory_limit: None,
         idle_timeout: 15_000_000,
         load_timeout: 18_000_000,
         load_budget: Some(LoadBudget {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -12,5 +12,7 @@
 mod queue;
 #[path = "router/requests.rs"]
 mod requests;
+#[path = "router/retention.rs"]
+mod retention;
 #[path = "router/workers.rs"]
 mod workers;
