Platform: the answer to a probe counts as one

Change: parse_answer tells the answer to a probe; the connection reports it as served for a control request, and never for an attempt.

Result: a_suspect_that_answers_its_probe_is_used_again failed before ("not within 10 s: fire") and passes.

--- a/net/platform/src/worker_connection/io.rs
+++ b/net/platform/src/worker_connection/io.rs
@@ -34,6 +34,11 @@
 const INVALID_ANSWER: AttemptOutcome = AttemptOutcome::InvalidResponse {
     stage: ResponseStage::Headers,
 };
+/// The outcome of a probe that was answered.
+const PROBE_ANSWERED: AttemptOutcome = AttemptOutcome::Status {
+    code: 0,
+    stage: ResponseStage::Headers,
+};
 
 /// Why the bytes on a connection are not an answer.
 #[derive(Debug, thiserror::Error)]
@@ -198,6 +203,11 @@
             .map(ControlRequestId)
             .filter(|id| take_started(&mut self.state.borrow_mut().control, id).is_some());
         if let Some(request) = request {
+            let outcome = if answer.answers_probe {
+                PROBE_ANSWERED
+            } else {
+                outcome
+            };
             handler.on_event(ConnectionEvent::ControlEnded {
                 request,
                 outcome,
--- a/programs/gateway/tests/platform/worker_answers.rs
+++ b/programs/gateway/tests/platform/worker_answers.rs
@@ -1,5 +1,6 @@
 //! Tests of irregular answers of workers: late, duplicate, truncated, malformed or missing ones.
 
+use crate::harness::manual::{ManualFrontEnd, ManualWorker};
 use crate::harness::*;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -227,3 +228,25 @@
         );
     }
 }
+
+// Guards against a worker that is never used again: `alive` was taken for an unknown word, and so for an error.
+#[test]
+fn a_suspect_that_answers_its_probe_is_used_again() {
+    let mut worker = ManualWorker::start();
+    let configuration = configuration_at(&[worker.address]).text(ANY_PORT);
+    let with_probes = configuration.replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#);
+    let mut front_end = ManualFrontEnd::with_text(&with_probes);
+    let mut first = front_end.send(&call(1));
+    let attempt = front_end.next_command(&mut worker, "fire");
+    worker.serve(&attempt);
+    assert_eq!(front_end.answer(&mut first), 200);
+    let mut second = front_end.send(&call(2));
+    let lost = front_end.next_command(&mut worker, "fire");
+    worker.reset(lost.connection);
+    let probe = front_end.next_command(&mut worker, "there");
+    worker.write(probe.connection, &array(&[probe.id(), "alive", "-", ""]));
+    let again = front_end.next_command(&mut worker, "fire");
+    assert_eq!(again.id(), lost.id());
+    worker.serve(&again);
+    assert_eq!(front_end.answer(&mut second), 200);
+}
--- a/protocol/platform/src/reply.rs
+++ b/protocol/platform/src/reply.rs
@@ -7,11 +7,15 @@
 //! | `503` | never ran: the worker rejected the call | no |
 //! | `504` | never ran: the call's time had expired | no |
 //! | `500` and any other | an error | yes |
+//!
+//! The word of the answer to a probe is `alive`; on an attempt it is an error like any other unknown word.
 
 use tansy_dispatch::{AttemptOutcome, CacheStatus, LoadReport, NeverRan, ResponseStage, Trailers};
 
 /// The number of strings of an answer: the tag, the status word, the fields and the body.
 const ANSWER_STRINGS: usize = 4;
+/// The status word of the answer to a probe.
+const PROBE_WORD: &[u8] = b"alive";
 /// The fields of an answer that has none.
 const NO_FIELDS: &str = "-";
 
@@ -20,8 +24,10 @@
 pub struct WorkerAnswer<'a> {
     /// The request id of the attempt, or the tag of the control request.
     pub tag: &'a [u8],
-    /// What the status word and the fields state.
+    /// What the status word and the fields state about an attempt or an order.
     pub reply: WorkerReply,
+    /// Whether it answers a probe.
+    pub answers_probe: bool,
     /// The body.
     pub body: &'a [u8],
 }
@@ -77,7 +83,12 @@
         });
     };
     let reply = parse_reply(word, fields, reports_concurrency)?;
-    Ok(WorkerAnswer { tag, reply, body })
+    Ok(WorkerAnswer {
+        tag,
+        reply,
+        answers_probe: word == PROBE_WORD,
+        body,
+    })
 }
 
 /// Parses the status word and the fields of an answer.
--- a/protocol/platform/tests/reply.rs
+++ b/protocol/platform/tests/reply.rs
@@ -53,6 +53,16 @@
     );
 }
 
+#[test]
+fn alive_answers_a_probe_and_serves_no_attempt() {
+    let answer = parse_answer(&[b"o7", b"alive", b"-", b""], true).unwrap();
+    assert!(answer.answers_probe);
+    let attempt = classify(answer.reply.outcome, &answer.reply.trailers).outcome;
+    assert_eq!(attempt, tansyrouter::Outcome::Error);
+    let other = parse_answer(&[b"o7", b"200", b"-", b""], true).unwrap();
+    assert!(!other.answers_probe);
+}
+
 #[test]
 fn only_404_503_and_504_guarantee_that_nothing_ran() {
     for (word, never) in [
