--- a/decide/dispatch/src/request_table/queries.rs
+++ b/decide/dispatch/src/request_table/queries.rs
@@ -99,12 +99,9 @@
             .collect()
     }
 
-    /// What the router remembers of functions, and the number of their names here. Visits every function.
-    pub fn function_table_sizes(&self) -> (FunctionTableSizes, usize) {
-        (
-            self.router.function_table_sizes(),
-            self.function_names.len(),
-        )
+    /// What the router remembers of functions. Visits every function.
+    pub fn function_table_sizes(&self) -> FunctionTableSizes {
+        self.router.function_table_sizes()
     }
 
     /// The number of known function names and worker names.
--- a/decide/dispatch/tests/request_table.rs
+++ b/decide/dispatch/tests/request_table.rs
@@ -296,7 +296,7 @@
         }
         most = most.max(dispatcher.name_counts().0 - configured);
     }
-    let (sizes, _) = dispatcher.function_table_sizes();
+    let sizes = dispatcher.function_table_sizes();
     // An eighth of the memory, at 2 KiB a function.
     let limit = 32_000_000 / 8 / 2048;
     assert!(
--- a/net/platform/src/worker_connection/io.rs
+++ b/net/platform/src/worker_connection/io.rs
@@ -149,8 +149,8 @@
             reader.push_bytes(&buffer[..count]);
             loop {
                 match self.read_answer(handler, reader) {
-                    Ok(Some(())) => {}
-                    Ok(None) => break,
+                    Ok(true) => {}
+                    Ok(false) => break,
                     Err(error) => {
                         let (worker, connection) = (&self.worker, self.serial);
                         tracing::debug!(%worker, connection, %error, "invalid answer from a worker");
@@ -168,18 +168,18 @@
         }
     }
 
-    /// Reads and reports the next answer; `None` if it is incomplete.
+    /// Reads and reports the next answer. Returns false if it is incomplete.
     fn read_answer<H: ConnectionHandler>(
         &self,
         handler: &Rc<H>,
         reader: &mut Reader,
-    ) -> Result<Option<()>, InvalidAnswer> {
+    ) -> Result<bool, InvalidAnswer> {
         let Some(strings) = reader.next_array()? else {
-            return Ok(None);
+            return Ok(false);
         };
         let answer = parse_answer(&strings, handler.limits().reports_concurrency)?;
         self.on_answer(handler, &answer);
-        Ok(Some(()))
+        Ok(true)
     }
 
     /// Matches an answer to the open attempt or control request with its tag, and reports it. Answers to unknown tags
--- a/programs/gateway/src/platform/mod.rs
+++ b/programs/gateway/src/platform/mod.rs
@@ -157,12 +157,16 @@
             let (account, open) = driver.counters();
             let violations = driver.violations();
             let reasons = &driver.reasons;
-            let (sizes, names) =
-                driver.with_dispatcher(|dispatcher| dispatcher.function_table_sizes());
+            let (sizes, function_names) = driver.with_dispatcher(|dispatcher| {
+                (
+                    dispatcher.function_table_sizes(),
+                    dispatcher.name_counts().0,
+                )
+            });
             tracing::info!(
                 %account, open, violations, %reasons, held = ?driver.table_sizes(),
                 functions = sizes.functions, instances = sizes.instances,
-                ranked_workers = sizes.ranked_workers, function_names = names,
+                ranked_workers = sizes.ranked_workers, function_names,
                 "totals"
             );
         }
