--- a/decide/dispatch/src/request_table/admission.rs
+++ b/decide/dispatch/src/request_table/admission.rs
@@ -8,7 +8,7 @@
 
 /// The budget of a call divided by this is reserved for delivering the answer.
 const RESERVE_DIVISOR: Micros = 16;
-/// Upper limit of the reserve, microseconds.
+/// Upper limit of the reserve, microseconds. The final answer has to arrive while the client still waits.
 const MAX_RESERVE: Micros = 20_000;
 /// Lower limit of the reserve, microseconds; includes one tick by which a timer may be late.
 const MIN_RESERVE: Micros = 2 * TIMER_TICK;
--- a/decide/fleet-node/src/change_controller/advance.rs
+++ b/decide/fleet-node/src/change_controller/advance.rs
@@ -104,8 +104,8 @@
             && (!log.changes_strict_field(schema) || have_sessions_reached())
     }
 
-    /// Proposes queued entries. Joins and leaves are proposed without waiting for each other, so that a fleet that starts
-    /// joins quickly. Any other entry is validated against a log to which all earlier entries are applied.
+    /// Proposes queued entries. Joins and leaves are proposed without waiting for each other, so that 300 front ends that
+    /// start together join together. Any other entry is validated against a log to which all earlier entries are applied.
     fn propose_queued(&mut self, now: Time, commands: &mut Vec<Command>) {
         loop {
             let position = self.proposals.len();
--- a/decide/membership/src/membership.rs
+++ b/decide/membership/src/membership.rs
@@ -14,7 +14,8 @@
 use tansy_agreement::lease::Time;
 use tansy_agreement::lease_tree::{LeaseTopology, RendezvousOrder};
 
-/// Time for which a down process is remembered and periodically contacted again.
+/// Time for which a down process is remembered and periodically contacted again. Front ends are few, so the list of down
+/// ones stays small.
 const DOWN_RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Lower bound of the protocol's time settings, in microseconds.
 const MIN_INTERVAL: Time = 1000;
--- a/net/fleet/src/links.rs
+++ b/net/fleet/src/links.rs
@@ -10,7 +10,7 @@
 use tansy_net_grpc::link::{Limits, Link};
 use tansy_net_sockets::{clock, Spawner};
 
-/// The most messages in flight to one front end; further ones are dropped.
+/// The most messages in flight to one front end; further ones are dropped, as a network drops them.
 const MAX_IN_FLIGHT: usize = 64;
 /// Time after which sending a message is abandoned, since the message would be outdated.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/router/instances.rs
+++ b/src/router/instances.rs
@@ -11,7 +11,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Lower bound of the estimated number of concurrent calls of an instance.
+/// Lower bound of the estimated number of concurrent calls of an instance, however little work the workers do.
 const MIN_INSTANCE_CAPACITY: f64 = 0.5;
 
 /// Fraction of the idle timeout for which an unused instance is assumed to be loaded. The rest covers the time until
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -218,7 +218,7 @@
     /// # Departure from the base algorithm
     ///
     /// One check serves a limited number of functions, and the next check continues after them. With very many
-    /// functions a check would otherwise take longer than the check interval.
+    /// functions a check would otherwise take longer than the check interval, and nothing else would be done.
     ///
     /// Trade-off: some functions are served later.
     fn dispatch_waiting(&mut self, now: Time, actions: &mut Vec<Action>) {
