--- a/src/router/retention.rs
+++ b/src/router/retention.rs
@@ -17,7 +17,7 @@
 const FUNCTION_BYTES: u64 = 2048;
 
 /// Minimum number of functions that are remembered, whatever the memory limit.
-const MIN_FUNCTIONS: u64 = 128;
+const MIN_FUNCTIONS: u64 = 256;
 
 /// The idle functions, by the time of their latest call.
 #[derive(Default)]
