Totals tell client connections by phase, unsent calls and the accept queue's age

`totals` now has clients by phase, calls of which nothing was sent, pauses of accepting, and how long the accept queue may have waited.

--- a/net/platform/src/client/listener.rs
+++ b/net/platform/src/client/listener.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{ClientConnection, ConnectionContext};
 use super::session::run_session;
-use super::table::ClientTable;
+use super::table::{ClientCounts, ClientTable};
 use crate::driver::Driver;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -25,6 +25,8 @@
     paused: Cell<bool>,
     /// Since when connections may have waited in the kernel's accept queue; none if the queue was emptied.
     unaccepted_since: Cell<Option<Instant>>,
+    /// How often accepting stopped for want of a place or a descriptor.
+    pauses: Cell<u64>,
     listener: RefCell<Option<Rc<TcpListener>>>,
     token: Cell<Option<RegistrationToken>>,
 }
@@ -55,6 +57,7 @@
             context,
             paused: Cell::new(false),
             unaccepted_since: Cell::new(None),
+            pauses: Cell::new(0),
             listener: RefCell::new(Some(listener.clone())),
             token: Cell::new(None),
         });
@@ -83,6 +86,19 @@
     pub fn len(&self) -> usize {
         self.table().len()
     }
+    /// The open connections by phase.
+    pub fn counts(&self) -> ClientCounts {
+        self.table().counts()
+    }
+    /// How often accepting stopped for want of a place or a descriptor.
+    pub fn pauses(&self) -> u64 {
+        self.pauses.get()
+    }
+    /// The longest time that a connection in the kernel's accept queue may have waited.
+    pub fn queue_age(&self) -> Duration {
+        let since = self.unaccepted_since.get();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -152,6 +168,7 @@
     /// Stops accepting for [`ACCEPT_RETRY_DELAY`].
     fn pause(self: &Rc<Self>) {
         if !self.paused.replace(true) {
+            self.pauses.set(self.pauses.get() + 1);
             let clients = self.clone();
             self.driver.spawner.spawn(async move {
                 clients.driver.spawner.sleep(ACCEPT_RETRY_DELAY).await;
--- a/net/platform/src/client/table.rs
+++ b/net/platform/src/client/table.rs
@@ -44,6 +44,21 @@
     }
 }
 
+/// Numbers of open connections, for logs and tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientCounts {
+    /// No byte has been received.
+    pub silent: usize,
+    /// Between two requests.
+    pub idle: usize,
+    /// A request is incomplete.
+    pub partial: usize,
+    /// A request is being answered.
+    pub busy: usize,
+    /// Of all of them, those that are being evicted.
+    pub evicting: usize,
+}
+
 /// The open client connections.
 pub struct ClientTable {
     open: RefCell<BTreeMap<u64, Rc<ClientEntry>>>,
@@ -87,6 +102,23 @@
         self.len() >= self.capacity + self.evicting.get()
     }
 
+    /// Counts the connections by phase. Visits every connection.
+    pub fn counts(&self) -> ClientCounts {
+        let mut counts = ClientCounts {
+            evicting: self.evicting.get(),
+            ..ClientCounts::default()
+        };
+        for entry in self.open.borrow().values() {
+            match entry.phase.get() {
+                Phase::Silent => counts.silent += 1,
+                Phase::Idle => counts.idle += 1,
+                Phase::PartialRequest(_) => counts.partial += 1,
+                Phase::Busy => counts.busy += 1,
+            }
+        }
+        counts
+    }
+
     /// Adds a connection and returns its id and entry.
     pub fn insert(&self) -> (u64, Rc<ClientEntry>) {
         let id = self.next_id.get();
--- a/net/platform/src/driver/mod.rs
+++ b/net/platform/src/driver/mod.rs
@@ -158,6 +158,13 @@
         ]
     }
 
+    /// The number of unanswered calls of which nothing has been sent to a worker. Visits every call.
+    pub fn unsent_calls(&self) -> usize {
+        let state = self.state.borrow();
+        let is_unsent = |call: &&Rc<CallContext>| call.used_connections.borrow().is_empty();
+        state.calls.values().filter(is_unsent).count()
+    }
+
     /// Sets the function that reads and applies pending worker list updates.
     pub fn set_endpoint_reader(&self, read: Rc<dyn Fn()>) {
         *self.endpoint_reader.borrow_mut() = Some(read);
--- a/programs/gateway/src/platform/mod.rs
+++ b/programs/gateway/src/platform/mod.rs
@@ -75,7 +75,7 @@
         );
         let poller = EndpointPoller::start(driver.clone(), list, config.coordinator, &config.known);
         let clients = ClientListener::start(driver.clone(), listener)?;
-        spawner.spawn(maintain(driver.clone()));
+        spawner.spawn(maintain(driver.clone(), clients.clone()));
         Ok(PlatformFrontEnd {
             event_loop,
             driver,
@@ -147,32 +147,38 @@
 }
 
 /// Maintains the connections to workers and logs the totals, each at its interval.
-async fn maintain(driver: Rc<Driver>) {
+async fn maintain(driver: Rc<Driver>, clients: Rc<ClientListener>) {
     let mut logged_at = Instant::now();
     loop {
         driver.spawner.sleep(MAINTENANCE_INTERVAL).await;
         driver.maintain_connections();
         if logged_at.elapsed() >= TOTALS_INTERVAL {
             logged_at = Instant::now();
-            let (account, open) = driver.counters();
-            let violations = driver.violations();
-            let reasons = &driver.reasons;
-            let (sizes, function_names) = driver.with_dispatcher(|dispatcher| {
-                (
-                    dispatcher.function_table_sizes(),
-                    dispatcher.name_counts().0,
-                )
-            });
-            tracing::info!(
-                %account, open, violations, %reasons, held = ?driver.table_sizes(),
-                functions = sizes.functions, instances = sizes.instances,
-                ranked_workers = sizes.ranked_workers, function_names,
-                "totals"
-            );
+            log_totals(&driver, &clients);
         }
     }
 }
 
+fn log_totals(driver: &Driver, clients: &ClientListener) {
+    let (account, open) = driver.counters();
+    let violations = driver.violations();
+    let reasons = &driver.reasons;
+    let (sizes, function_names) = driver.with_dispatcher(|dispatcher| {
+        (
+            dispatcher.function_table_sizes(),
+            dispatcher.name_counts().0,
+        )
+    });
+    tracing::info!(
+        %account, open, violations, %reasons, held = ?driver.table_sizes(),
+        unsent_calls = driver.unsent_calls(), clients = ?clients.counts(),
+        accept_pauses = clients.pauses(), accept_queue_ms = clients.queue_age().as_millis() as u64,
+        functions = sizes.functions, instances = sizes.instances,
+        ranked_workers = sizes.ranked_workers, function_names,
+        "totals"
+    );
+}
+
 /// Like [`retry`], for functions that return an error of the event loop library.
 fn retry_calloop<T>(
     subject: &str,
