Waiting calls that were never sent give way, so that no accepted client stays unread

Cause: a call that waits for a load kept its client's connection until its time was nearly over, and evict_one (table.rs) knew only silent, idle and half-read connections; accept_batch (listener.rs) then stopped. Second fault: a connection counted as queued since the accept queue was last empty, so 25,413 calls that had just arrived were refused as too late.

Now the router refuses the waiting call that would be served last when its connection is needed (shedding.rs, one ordered set): functions whose load failed first, those that a worker has had last; a call that was sent stays. Idle connections on which a call was served stay while a stranger's can go. The kernel tells the length of the accept queue. The same at EMFILE, at SIGTERM, and at max_open_requests (gRPC too).

--- a/benches/state/src/workers/commands.rs
+++ b/benches/state/src/workers/commands.rs
@@ -48,6 +48,7 @@
                 self.cancel_control_request(control_id(front_end, request));
             }
             Command::ForwardMessage { .. }
+            | Command::CloseAfterAnswer { .. }
             | Command::RecallUnsent { .. }
             | Command::DropConnection { .. }
             | Command::RetireWorker { .. }
--- a/decide/dispatch/src/message.rs
+++ b/decide/dispatch/src/message.rs
@@ -165,6 +165,13 @@
         #[serde(rename = "told")]
         trailers: Trailers,
     },
+    /// A call arrived on a connection that cannot be kept: it is refused.
+    CallWithoutCapacity(Call),
+    /// Another client needs the connection of a client whose call waits.
+    ConnectionNeeded {
+        /// Whether only a call may be refused whose function no worker is known to have or to load.
+        only_unlikely: bool,
+    },
     /// Time has passed; due timers run.
     Tick,
     /// Stop accepting calls. Calls that are still open after the grace period fail.
@@ -275,6 +282,11 @@
         /// The answer.
         answer: Answer,
     },
+    /// Close the client's connection once the answer that follows has been written: another client needs it.
+    CloseAfterAnswer {
+        /// The call.
+        call: CallId,
+    },
     /// Ask a worker for a load report.
     Probe {
         /// The request.
--- a/decide/dispatch/src/request_table.rs
+++ b/decide/dispatch/src/request_table.rs
@@ -176,6 +176,10 @@
                 outcome,
                 trailers,
             } => self.on_control_request_ended(request, outcome, trailers, commands),
+            Input::CallWithoutCapacity(call) => self.refuse_for_capacity(&call, commands),
+            Input::ConnectionNeeded { only_unlikely } => {
+                self.shed_waiting_call(only_unlikely, commands);
+            }
             Input::Tick => {}
             Input::Shutdown { grace } => {
                 self.shutting_down = true;
--- a/decide/dispatch/src/request_table/admission.rs
+++ b/decide/dispatch/src/request_table/admission.rs
@@ -4,7 +4,7 @@
 use super::functions::CalledFunction;
 use super::{Dispatcher, TIMER_TICK};
 use crate::message::{Answer, Call, CallId, Command};
-use tansyrouter::{Arrival, Event, Micros, RequestId, Time};
+use tansyrouter::{Arrival, Event, FunctionId, Micros, RequestId, Time};
 
 /// The budget of a call divided by this is reserved for delivering the answer.
 const RESERVE_DIVISOR: Micros = 16;
@@ -53,21 +53,15 @@
         let Some(function) = self.called_function(&call) else {
             return self.answer_unknown_function(id, commands);
         };
+        self.make_room_for_call(function.id, commands);
         let settings = &self.config.settings;
         let function_class = resolved.map_or(function.class, |resolved| resolved.class);
         let arrived = Time(self.now.0 - waited);
         self.counters.accepted += 1;
         // Nothing was sent, so a refusal is safe for every class. During shutdown the client may retry at once at
         // another front end; a full front end stays full for some time.
-        if self.shutting_down || self.calls.len() >= settings.max_open_requests {
-            let retry_after_full = settings.classes[function_class]
-                .latency_objective
-                .min(settings.max_retry_after);
-            let retry_after = if self.shutting_down {
-                0
-            } else {
-                retry_after_full
-            };
+        if self.shutting_down || self.is_full() {
+            let retry_after = self.retry_after_full(function_class);
             return self.refuse_admission(id, function_class, retry_after, arrived, commands);
         }
         let class = call
@@ -90,6 +84,39 @@
         self.open_call(id, arrival, arrived, commands);
     }
 
+    /// At the limit of open requests, has a waiting call refused that is unlikely to be served, for a call of a function
+    /// that a worker is known to have.
+    fn make_room_for_call(&mut self, function: FunctionId, commands: &mut Vec<Command>) {
+        if !self.shutting_down && self.is_full() && self.router.is_confirmed(function) {
+            self.shed_waiting_call(true, commands);
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.calls.len() >= self.config.settings.max_open_requests
+    }
+
+    /// Refuses a call on a connection that cannot be kept.
+    pub(super) fn refuse_for_capacity(&mut self, call: &Call, commands: &mut Vec<Command>) {
+        let settings = &self.config.settings;
+        let known_class = call.class.filter(|class| *class < settings.classes.len());
+        let class = known_class.unwrap_or(0);
+        let arrived = Time(self.now.0 - call.waited.max(0));
+        self.counters.accepted += 1;
+        let retry_after = self.retry_after_full(class);
+        self.refuse_admission(call.id, class, retry_after, arrived, commands);
+    }
+
+    /// When a client may retry at this front end. During shutdown it may retry at once, at another one.
+    fn retry_after_full(&self, class: usize) -> Micros {
+        if self.shutting_down {
+            return 0;
+        }
+        let settings = &self.config.settings;
+        let objective = settings.classes[class].latency_objective;
+        objective.min(settings.max_retry_after)
+    }
+
     /// Refuses an accepted call that the router has not received.
     fn refuse_admission(
         &mut self,
--- a/decide/dispatch/src/request_table/routing.rs
+++ b/decide/dispatch/src/request_table/routing.rs
@@ -16,6 +16,11 @@
         self.actions = actions;
     }
 
+    /// Has the router refuse a waiting call, as another client needs what it holds.
+    pub(super) fn shed_waiting_call(&mut self, only_unlikely: bool, commands: &mut Vec<Command>) {
+        self.notify_router(Event::CapacityNeeded { only_unlikely }, commands);
+    }
+
     fn perform(&mut self, action: Action, commands: &mut Vec<Command>) {
         match action {
             Action::Send {
@@ -31,6 +36,12 @@
                 let retry_after = self.retry_after(id, retry_after);
                 self.answer(id, Answer::Refused { retry_after }, commands)
             }
+            Action::Shed { request } => {
+                let id = CallId(request.0);
+                let retry_after = self.retry_after(id, 0);
+                commands.push(Command::CloseAfterAnswer { call: id });
+                self.answer(id, Answer::Refused { retry_after }, commands)
+            }
             Action::Fail { request } => {
                 let id = CallId(request.0);
                 let reason = self
--- a/decide/dispatch/tests/request_table.rs
+++ b/decide/dispatch/tests/request_table.rs
@@ -25,6 +25,50 @@
     commands.iter().filter_map(one).collect()
 }
 
+// Guards against refused calls of loaded functions: waiting calls of unknown functions were all the open requests that the
+// settings allow.
+#[test]
+fn at_the_limit_of_open_requests_a_waiting_call_gives_way_to_a_call_of_a_loaded_function() {
+    let mut config = config(1);
+    config.settings.max_open_requests = 3;
+    let mut dispatcher = Dispatcher::new(config, Time(0)).expect("settings that make sense");
+    let mut commands = Vec::new();
+    let list = worker_list(vec![worker("w", WorkerState::Ready)]);
+    dispatcher.step(Time(0), list, &mut commands);
+    dispatcher.step(Time(1), call(1, "safe", SECOND), &mut commands);
+    let request = first_load(&commands).expect("a load");
+    dispatcher.step(Time(2), loaded(request), &mut commands);
+    let end = Input::AttemptEnded {
+        call: CallId(1),
+        attempt: 0,
+        outcome: support::OK,
+        trailers: Trailers::default(),
+    };
+    dispatcher.step(Time(3), end, &mut commands);
+    commands.clear();
+    for id in 2..5 {
+        dispatcher.step(Time(4), call(id, "unsafe", SECOND), &mut commands);
+    }
+    let failed = Input::ControlRequestEnded {
+        request: first_load(&commands).expect("a load"),
+        outcome: AttemptOutcome::Status {
+            code: 2,
+            stage: ResponseStage::Last,
+        },
+        trailers: Trailers::default(),
+    };
+    dispatcher.step(Time(4), failed, &mut commands);
+    commands.clear();
+    let refused = Answer::Refused { retry_after: 0 };
+    dispatcher.step(Time(5), call(5, "unsafe", SECOND), &mut commands);
+    assert_eq!(answers(&commands), [(5, refused)], "neither is better");
+    commands.clear();
+    dispatcher.step(Time(6), call(6, "safe", SECOND), &mut commands);
+    assert_eq!(answers(&commands), [(4, refused)]);
+    let sent = |command: &Command| matches!(command, Command::SendAttempt { call, .. } if *call == CallId(6));
+    assert!(commands.iter().any(sent), "{commands:?}");
+}
+
 #[test]
 fn refusals_carry_retry_advice() {
     let mut config = config(1);
--- a/net/inference/src/driver/commands.rs
+++ b/net/inference/src/driver/commands.rs
@@ -27,6 +27,8 @@
                 self.signal_attempt(call, CancelSignal::confirm);
             }
             Command::ForwardMessage { call } => self.forward_message(call),
+            // The end of a call's stream frees what it holds.
+            Command::CloseAfterAnswer { .. } => {}
             Command::Answer { call, answer } => self.answer(call, answer),
             Command::Probe { request, worker } => {
                 self.send_control_request(request, &worker, ControlMessage::probe());
--- a/net/platform/src/client/connection.rs
+++ b/net/platform/src/client/connection.rs
@@ -45,7 +45,7 @@
     /// Detects stalls of the event loop.
     pub lag: Rc<Lag>,
     /// The open client connections.
-    pub table: ClientTable,
+    pub table: Rc<ClientTable>,
 }
 
 /// A valid request.
@@ -108,13 +108,17 @@
         Reader::for_requests(REQUEST_LIMITS)
     }
     /// The open client connections.
-    pub fn table(&self) -> &ClientTable {
+    pub fn table(&self) -> &Rc<ClientTable> {
         &self.context.table
     }
     /// This connection's entry in the table.
-    pub fn entry(&self) -> &ClientEntry {
+    pub fn entry(&self) -> &Rc<ClientEntry> {
         &self.entry
     }
+    /// Changes the connection's phase.
+    pub fn set_phase(&self, phase: Phase) {
+        self.table().set_phase(&self.entry, phase);
+    }
     /// The connection's socket.
     pub fn socket(&self) -> &Rc<Socket> {
         &self.socket
@@ -177,7 +181,7 @@
 
     /// Why a connection without a request is closed.
     fn close_reason(&self, read_ended: bool, is_first: bool) -> CloseReason {
-        match (self.entry.is_evicted.get(), read_ended, is_first) {
+        match (self.entry.is_evicted(), read_ended, is_first) {
             (true, ..) => CloseReason::Evicted,
             (_, true, _) => CloseReason::ClientLeft,
             (_, false, true) => CloseReason::Silent,
@@ -188,11 +192,11 @@
     /// Reads available input, and resolves to whether there was any. If the connection is being evicted, only reads
     /// what the kernel already holds.
     fn poll_read(&self, cx: &Context<'_>, reader: &mut Reader) -> Poll<bool> {
-        if self.entry.is_evicted.get() {
+        if self.entry.is_evicted() {
             return Poll::Ready(self.read_buffered(reader));
         }
         let mut buffer = [0u8; 8 * 1024];
-        *self.entry.waker.borrow_mut() = Some(cx.waker().clone());
+        self.entry.set_waker(cx.waker());
         let count = std::task::ready!(self.socket.poll_read(cx, &mut buffer)).unwrap_or(0);
         self.on_bytes(reader, &buffer[..count]);
         Poll::Ready(count > 0)
@@ -208,7 +212,7 @@
         self.arrived
             .set(self.context.lag.earliest_arrival(now).min(queued_since));
         if reader.is_empty() {
-            self.entry.phase.set(Phase::PartialRequest(now));
+            self.set_phase(Phase::PartialRequest);
             self.table().cancel_eviction(&self.entry);
         }
         reader.push_bytes(bytes);
@@ -238,7 +242,7 @@
                 bytes_read += reader.len() - buffered;
                 continue;
             }
-            return Poll::Ready(if self.entry.is_evicted.get() {
+            return Poll::Ready(if self.entry.is_evicted() {
                 Incoming::Invalid(Rejection::Evicted)
             } else {
                 Incoming::Ended(CloseReason::ClientLeft)
@@ -293,14 +297,19 @@
         CloseReason::BadRequest
     }
 
-    /// Shuts down the sending side and drains the client's input for a limited time. Closing with unread
-    /// input would reset the connection and could discard the response.
+    /// Shuts down the sending side and drains the client's input for a limited time, unless the connection is evicted.
+    /// Closing with unread input would reset the connection and could discard the response.
     pub async fn linger(&self) {
-        if self.socket.shutdown().is_err() {
+        if self.socket.shutdown().is_err() || self.entry.is_evicted() {
             return;
         }
+        self.set_phase(Phase::Closing);
         let drained = poll_fn(|cx| {
             let mut buffer = [0u8; MAX_READ_PER_TURN];
+            if self.entry.is_evicted() {
+                return Poll::Ready(());
+            }
+            self.entry.set_waker(cx.waker());
             match std::task::ready!(self.socket.poll_read(cx, &mut buffer)) {
                 Ok(count) if count > 0 => {
                     cx.waker().wake_by_ref();
--- a/net/platform/src/client/listener.rs
+++ b/net/platform/src/client/listener.rs
@@ -1,5 +1,7 @@
 //! The listener: accepts client connections, and stops accepting at shutdown.
 
+use super::accept_queue::AcceptQueue;
+use super::capacity::{free_any_connection, free_connection, free_spare_connection};
 use super::connection::{ClientConnection, ConnectionContext};
 use super::session::run_session;
 use super::table::{ClientCounts, ClientTable};
@@ -8,9 +10,10 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tansy_net_sockets::accept_queue;
 use tansy_net_sockets::socket::{is_out_of_descriptors, Socket};
 
 /// Maximum number of connections accepted per turn of the event loop.
@@ -23,8 +26,8 @@
     driver: Rc<Driver>,
     context: Rc<ConnectionContext>,
     paused: Cell<bool>,
-    /// Since when connections may have waited in the kernel's accept queue; none if the queue was emptied.
-    unaccepted_since: Cell<Option<Instant>>,
+    queue: RefCell<AcceptQueue>,
+    address: SocketAddr,
     /// How often accepting stopped for want of a place or a descriptor.
     pauses: Cell<u64>,
     listener: RefCell<Option<Rc<TcpListener>>>,
@@ -50,13 +53,14 @@
         let context = Rc::new(ConnectionContext {
             spawner: driver.spawner.clone(),
             lag: driver.lag.clone(),
-            table: ClientTable::new(driver.limits.max_client_connections),
+            table: Rc::new(ClientTable::new(driver.limits.max_client_connections)),
         });
         let clients = Rc::new(ClientListener {
             driver: driver.clone(),
             context,
             paused: Cell::new(false),
-            unaccepted_since: Cell::new(None),
+            queue: RefCell::default(),
+            address: listener.local_addr()?,
             pauses: Cell::new(0),
             listener: RefCell::new(Some(listener.clone())),
             token: Cell::new(None),
@@ -73,13 +77,24 @@
                 inner.pause();
                 Ok(PostAction::Disable)
             });
+        clients.serve_descriptor_requests();
         clients
             .token
             .set(Some(token.map_err(|e| io::Error::other(e.to_string()))?));
         Ok(clients)
     }
 
-    fn table(&self) -> &ClientTable {
+    /// Frees connections of clients when the driver has no descriptor for a connection to a worker.
+    fn serve_descriptor_requests(self: &Rc<Self>) {
+        let clients = Rc::downgrade(self);
+        self.driver.set_client_connection_freer(Rc::new(move || {
+            if let Some(clients) = clients.upgrade() {
+                free_spare_connection(&clients.driver, clients.table());
+            }
+        }));
+    }
+
+    fn table(&self) -> &Rc<ClientTable> {
         &self.context.table
     }
     /// The number of open connections.
@@ -96,8 +111,7 @@
     }
     /// The longest time that a connection in the kernel's accept queue may have waited.
     pub fn queue_age(&self) -> Duration {
-        let since = self.unaccepted_since.get();
-        since.map_or(Duration::ZERO, |since| since.elapsed())
+        self.queue.borrow().age(Instant::now())
     }
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
@@ -124,27 +138,50 @@
     /// the queue was last known to be empty.
     fn accept(self: &Rc<Self>) -> AcceptStop {
         let arrived = self.driver.lag.earliest_arrival(Instant::now());
-        let queued_since = self.unaccepted_since.get().unwrap_or(arrived);
-        let stop = self.accept_batch(queued_since);
-        let has_more = stop != AcceptStop::QueueEmpty;
-        self.unaccepted_since.set(has_more.then_some(queued_since));
+        self.queue.borrow_mut().begin(arrived);
+        let stop = self.accept_batch();
+        let mut queue = self.queue.borrow_mut();
+        if stop == AcceptStop::QueueEmpty {
+            queue.on_empty();
+        } else {
+            queue.on_more(Instant::now(), || accept_queue::length(self.address));
+        }
         stop
     }
 
-    fn accept_batch(self: &Rc<Self>, queued_since: Instant) -> AcceptStop {
+    /// Frees connections for one that was accepted. If there are none to free, it is above the capacity.
+    fn make_room(&self) {
+        let table = self.table();
+        while table.is_full() && free_connection(&self.driver, table) {}
+    }
+
+    /// Why accepting stops when there is no connection left above the capacity: until those that are being evicted have
+    /// ended, or for lack of capacity.
+    fn stop_for_eviction(&self) -> AcceptStop {
+        let table = self.table();
+        if table.evicting() > 0 || free_any_connection(&self.driver, table) {
+            AcceptStop::TurnLimit
+        } else {
+            AcceptStop::NoCapacity
+        }
+    }
+
+    fn accept_batch(self: &Rc<Self>) -> AcceptStop {
         let Some(listener) = self.listener.borrow().clone() else {
             return AcceptStop::QueueEmpty;
         };
         for _ in 0..MAX_ACCEPTS_PER_TURN {
-            if self.table().is_full() && !self.table().evict_one() {
-                return AcceptStop::NoCapacity;
+            if self.table().is_exhausted() {
+                return self.stop_for_eviction();
             }
             match listener.accept() {
                 Ok((socket, _)) => {
                     let _ = socket.set_nodelay(true);
+                    let queued_since = self.queue.borrow_mut().on_accepted(Instant::now());
                     let Ok(socket) = Socket::new(self.driver.spawner.handle(), socket) else {
                         return AcceptStop::NoCapacity;
                     };
+                    self.make_room();
                     self.serve(socket, queued_since);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -154,17 +191,23 @@
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 // The listener stays readable; pausing keeps the event loop from spinning.
                 Err(error) => {
-                    tracing::warn!(%error, "cannot accept connections; pausing");
-                    if is_out_of_descriptors(&error) {
-                        self.table().evict_one();
-                    }
-                    return AcceptStop::NoCapacity;
+                    return self.on_accept_error(&error);
                 }
             }
         }
         AcceptStop::TurnLimit
     }
 
+    /// Frees a connection if there is no descriptor for another one, and tells why accepting stops.
+    fn on_accept_error(&self, error: &io::Error) -> AcceptStop {
+        let frees = is_out_of_descriptors(error) && free_any_connection(&self.driver, self.table());
+        if frees {
+            return AcceptStop::TurnLimit;
+        }
+        tracing::warn!(%error, "cannot accept connections; pausing");
+        AcceptStop::NoCapacity
+    }
+
     /// Stops accepting for [`ACCEPT_RETRY_DELAY`].
     fn pause(self: &Rc<Self>) {
         if !self.paused.replace(true) {
@@ -185,7 +228,7 @@
     }
 
     fn serve(self: &Rc<Self>, socket: Socket, queued_since: Instant) {
-        let (id, entry) = self.table().insert();
+        let entry = self.table().insert();
         let clients = self.clone();
         self.driver.spawner.spawn(async move {
             let context = clients.context.clone();
@@ -193,11 +236,11 @@
             let reason = run_session(clients.driver.clone(), connection).await;
             clients.driver.reasons.count_closed(reason);
             tracing::debug!(
-                connection = id,
+                connection = entry.id(),
                 reason = reason.as_str(),
                 "client connection closed"
             );
-            clients.table().remove(id, &entry);
+            clients.table().remove(&entry);
         });
     }
 }
--- a/net/platform/src/client/session.rs
+++ b/net/platform/src/client/session.rs
@@ -1,8 +1,9 @@
 //! Serves one client connection: its requests are answered one after another.
 
+use super::capacity::free_connection;
 use super::connection::{ClientConnection, ClientRequest, Incoming};
 use super::rejection::Rejection;
-use super::table::Phase;
+use super::table::{Phase, RequestRoom};
 use crate::driver::Driver;
 use crate::reasons::CloseReason;
 use crate::response_slot::{ClientInput, FinalResponse, ResponseSlot};
@@ -11,6 +12,9 @@
 use tansy_http1::Message;
 use tansy_platform::CallRequest;
 
+/// The status of a served call.
+const SERVED: u16 = 200;
+
 /// Serves a connection until it ends, and returns why it ended.
 pub async fn run_session(driver: Rc<Driver>, connection: ClientConnection) -> CloseReason {
     let mut reader = ClientConnection::reader();
@@ -20,7 +24,7 @@
         let incoming = connection
             .next_request(&mut reader, std::mem::take(&mut is_first), &parse)
             .await;
-        connection.entry().phase.set(Phase::Busy);
+        connection.set_phase(Phase::Busy);
         let (request, keep_alive) = match incoming {
             Incoming::Request {
                 request,
@@ -29,7 +33,10 @@
             Incoming::Ended(reason) => return reason,
             Incoming::Invalid(rejection) => return connection.reject(rejection).await,
         };
-        connection.table().cancel_eviction(connection.entry());
+        let was_evicted = connection.table().cancel_eviction(connection.entry());
+        if was_evicted && connection.table().is_over_capacity() {
+            free_connection(&driver, connection.table());
+        }
         let response = match request {
             ClientRequest::Alive => FinalResponse {
                 status: 200,
@@ -38,7 +45,12 @@
             },
             ClientRequest::Call(call, body) => {
                 match respond_to_call(&driver, &connection, call, body).await {
-                    Ok(response) => response,
+                    Ok(response) => {
+                        if response.status == SERVED {
+                            connection.entry().set_served();
+                        }
+                        response
+                    }
                     Err(ClientInput::Nothing | ClientInput::Closed) => {
                         return CloseReason::ClientLeft
                     }
@@ -48,15 +60,20 @@
                 }
             }
         };
-        let keep_alive = keep_alive && !connection.table().is_closed();
+        let is_ending = connection.table().is_closed() || connection.entry().is_evicted();
+        let keep_alive = keep_alive && !is_ending;
         if !connection.write_response(response, keep_alive).await {
             return CloseReason::WriteTimedOut;
         }
         if !keep_alive {
             connection.linger().await;
-            return CloseReason::LastResponse;
+            return if connection.entry().is_evicted() {
+                CloseReason::Evicted
+            } else {
+                CloseReason::LastResponse
+            };
         }
-        connection.entry().phase.set(Phase::Idle);
+        connection.set_phase(Phase::Idle);
     }
 }
 
@@ -67,8 +84,16 @@
     request: CallRequest,
     body: Vec<u8>,
 ) -> Result<FinalResponse, ClientInput> {
-    let slot = Rc::new(ResponseSlot::new(connection.socket().clone()));
-    let call = driver.accept_call(request, body, connection.arrived(), &slot);
+    let (table, entry) = (connection.table().clone(), connection.entry().clone());
+    let close = Box::new(move || table.evict(&entry));
+    let slot = Rc::new(ResponseSlot::new(connection.socket().clone(), close));
+    let room = connection.table().request_room();
+    let has_connection = room != RequestRoom::Exhausted;
+    let arrived = connection.arrived();
+    let call = driver.accept_call(request, body, arrived, &slot, has_connection);
+    if room == RequestRoom::Excess {
+        driver.shed_waiting_call(false);
+    }
     let response = poll_fn(|cx| slot.poll(cx)).await;
     if response.is_err() {
         driver.on_client_left(call);
--- a/net/platform/src/driver/calls.rs
+++ b/net/platform/src/driver/calls.rs
@@ -17,13 +17,15 @@
         self.state.borrow().request_ids.contains(id)
     }
 
-    /// Accepts a call whose last byte arrived at `arrived`; the response is put into `slot`.
+    /// Accepts a call whose last byte arrived at `arrived`; the response is put into `slot`. Without a connection that
+    /// can be kept for it, the call is refused.
     pub fn accept_call(
         self: &Rc<Self>,
         request: CallRequest,
         body: Vec<u8>,
         arrived: Instant,
         slot: &Rc<ResponseSlot>,
+        has_connection: bool,
     ) -> CallId {
         let accepted_at = Instant::now();
         let waited = accepted_at.duration_since(arrived).as_micros();
@@ -57,10 +59,27 @@
         self.invariants
             .borrow_mut()
             .on_accepted(id, effect, deadline);
-        self.feed(Input::Call(call));
+        self.feed(if has_connection {
+            Input::Call(call)
+        } else {
+            Input::CallWithoutCapacity(call)
+        });
         id
     }
 
+    /// Has the dispatcher refuse a waiting call, as another client needs its connection.
+    pub fn shed_waiting_call(self: &Rc<Self>, only_unlikely: bool) {
+        self.feed(Input::ConnectionNeeded { only_unlikely });
+    }
+
+    /// Has the connection of a call's client end after its answer.
+    pub(super) fn close_after_answer(&self, call: CallId) {
+        let context = self.state.borrow().calls.get(&call).cloned();
+        if let Some(context) = context {
+            context.slot.close_after_response();
+        }
+    }
+
     /// Handles the departure of a call's client.
     pub fn on_client_left(self: &Rc<Self>, call: CallId) {
         self.invariants
--- a/net/platform/src/driver/commands.rs
+++ b/net/platform/src/driver/commands.rs
@@ -21,6 +21,7 @@
             // Answers have a single message, which is sent by `Answer`.
             Command::ForwardMessage { .. } => {}
             Command::Answer { call, answer } => self.answer_call(call, answer),
+            Command::CloseAfterAnswer { call } => self.close_after_answer(call),
             Command::Probe { request, worker } => self.send_control(request, &worker, &["there"]),
             Command::Load {
                 request,
--- a/net/platform/src/driver/connections.rs
+++ b/net/platform/src/driver/connections.rs
@@ -211,7 +211,9 @@
             } => self.on_control_ended(request, outcome, trailers),
             ConnectionEvent::OutOfResources => {
                 // Frees a descriptor for the next connection.
-                self.close_idle_connection();
+                if !self.close_idle_connection() {
+                    self.free_client_connection();
+                }
             }
             ConnectionEvent::Closed {
                 worker,
--- a/net/platform/src/driver/mod.rs
+++ b/net/platform/src/driver/mod.rs
@@ -66,6 +66,8 @@
     epoch: Instant,
     /// Reads and applies worker list updates that have arrived but that the event loop has not reported.
     endpoint_reader: RefCell<Option<Rc<dyn Fn()>>>,
+    /// Frees the descriptor of a client's connection.
+    client_connection_freer: RefCell<Option<Rc<dyn Fn()>>>,
     /// Whether `endpoint_reader` has run in this turn of the event loop.
     endpoints_read: Cell<bool>,
     state: RefCell<State>,
@@ -105,6 +107,7 @@
             next_serial: Cell::new(0),
             epoch,
             endpoint_reader: RefCell::new(None),
+            client_connection_freer: RefCell::new(None),
             endpoints_read: Cell::new(false),
             state,
             lag: Rc::new(Lag::new(Instant::now())),
@@ -169,6 +172,17 @@
     pub fn set_endpoint_reader(&self, read: Rc<dyn Fn()>) {
         *self.endpoint_reader.borrow_mut() = Some(read);
     }
+    /// Sets the function that frees the descriptor of a client's connection.
+    pub fn set_client_connection_freer(&self, free: Rc<dyn Fn()>) {
+        *self.client_connection_freer.borrow_mut() = Some(free);
+    }
+    /// Frees the descriptor of a client's connection, if there is one to free.
+    fn free_client_connection(&self) {
+        let free = self.client_connection_freer.borrow().clone();
+        if let Some(free) = free {
+            free();
+        }
+    }
     /// Applies pending worker list updates, at most once per turn of the event loop. After a stall of the loop, an
     /// update that drains a worker may be unread while a message to that worker is ready to be sent.
     fn read_endpoint_updates(&self) {
--- a/net/platform/src/response_slot.rs
+++ b/net/platform/src/response_slot.rs
@@ -34,20 +34,28 @@
     waker: RefCell<Option<Waker>>,
     socket: Rc<Socket>,
     input: Cell<ClientInput>,
+    /// Has the client's connection end after the response.
+    close: Box<dyn Fn()>,
 }
 
 impl ResponseSlot {
-    /// Creates an empty slot for the client connected by `socket`.
-    pub fn new(socket: Rc<Socket>) -> ResponseSlot {
+    /// Creates an empty slot for the client connected by `socket`. `close` has the connection end after the response.
+    pub fn new(socket: Rc<Socket>, close: Box<dyn Fn()>) -> ResponseSlot {
         let (response, waker) = (RefCell::default(), RefCell::default());
         ResponseSlot {
             response,
             waker,
             socket,
             input: Cell::new(ClientInput::Nothing),
+            close,
         }
     }
 
+    /// Has the client's connection end once the response has been written.
+    pub fn close_after_response(&self) {
+        (self.close)();
+    }
+
     fn wake(&self) {
         let waker = self.waker.borrow_mut().take();
         waker.into_iter().for_each(Waker::wake);
--- a/net/sockets/src/lib.rs
+++ b/net/sockets/src/lib.rs
@@ -1,8 +1,10 @@
 //! Sockets, tasks and timeouts on a single-threaded calloop event loop.
 //!
 //! - [`socket`]: TCP sockets and classification of socket errors. [`timers`]: timeouts.
+//! - [`accept_queue`]: the length of a listener's accept queue.
 //! - [`interrupt`]: event sources that tolerate signals. [`lag`]: detection of event loop stalls. [`clock`]: clocks.
 
+pub mod accept_queue;
 pub mod clock;
 pub mod interrupt;
 pub mod lag;
--- a/net/sockets/src/socket.rs
+++ b/net/sockets/src/socket.rs
@@ -273,6 +273,6 @@
     }
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(4096)?;
+    socket.listen(crate::accept_queue::BACKLOG)?;
     Ok(socket.into())
 }
--- a/programs/gateway/tests/platform/main.rs
+++ b/programs/gateway/tests/platform/main.rs
@@ -17,5 +17,6 @@
 mod suspension;
 mod together;
 mod unknown_functions;
+mod waiting_clients;
 mod watch;
 mod worker_answers;
--- a/simulator-adapter/src/command.rs
+++ b/simulator-adapter/src/command.rs
@@ -17,6 +17,7 @@
             request,
             retry_after,
         } => reject(number, request, retry_after),
+        Action::Shed { request } => reject(number, request, 0),
         Action::Fail { request } => Command::Fail {
             front_end,
             request: request.0,
--- a/src/action.rs
+++ b/src/action.rs
@@ -22,6 +22,11 @@
         /// How long the client should wait before it retries; 0 means no advice.
         retry_after: Micros,
     },
+    /// Final answer: refused, as another client needs what the request holds. No attempt was sent.
+    Shed {
+        /// The request.
+        request: RequestId,
+    },
     /// Final answer: failed. The request may have run.
     Fail {
         /// The request.
--- a/src/event.rs
+++ b/src/event.rs
@@ -130,6 +130,12 @@
         /// The request.
         request: RequestId,
     },
+    /// Another client needs what a waiting call holds, such as its connection. Answered by at most one
+    /// [`Action::Shed`](crate::Action::Shed).
+    CapacityNeeded {
+        /// Whether only a call may be refused whose function no worker is known to have or to load.
+        only_unlikely: bool,
+    },
     /// A probe ended.
     ProbeEnded {
         /// The worker that was probed.
--- a/src/router/instances.rs
+++ b/src/router/instances.rs
@@ -5,6 +5,7 @@
 use super::health::SILENCE_THRESHOLD;
 use super::loading::FAILED_LOAD_EXCLUSION;
 use super::queue::QueueKey;
+use super::shedding::ShedKey;
 use super::workers::Worker;
 use super::Router;
 use crate::{AttemptResult, FunctionId, Micros, MissPolicy, Outcome, Time, WorkerId};
@@ -128,6 +129,8 @@
     pub(super) pending_loads: usize,
     /// A worker has served a call of it or reported an instance of it.
     pub(super) confirmed: bool,
+    /// A worker has reported that a load of it failed, and no worker has confirmed it since.
+    pub(super) load_failed: bool,
     /// It is one of the router's idle functions.
     pub(super) idle: bool,
     /// Estimated number of workers that need an instance, from the concurrency that answers report.
@@ -137,6 +140,10 @@
     pub(super) queue: BTreeSet<QueueKey>,
     /// The queued calls that have been attempted before. Whether they may be retried changes with time.
     pub(super) queued_retries: BTreeSet<QueueKey>,
+    /// The queued calls of which no attempt was ever sent.
+    pub(super) unsent: BTreeSet<QueueKey>,
+    /// Its position in the order in which waiting calls are refused for their connections.
+    pub(super) shed_key: Option<ShedKey>,
     /// The largest work hint in the queue since it was last empty.
     pub(super) largest_queued_hint: Micros,
     pub(super) affinity_order: RefCell<AffinityOrder>,
@@ -150,6 +157,14 @@
     pub(super) workers: Vec<(f64, WorkerId)>,
 }
 
+impl Function {
+    /// Records that a worker has the function.
+    pub(super) fn confirm(&mut self) {
+        self.confirmed = true;
+        self.load_failed = false;
+    }
+}
+
 impl Router {
     /// Iterates over the instances of a function whose workers are known, with these workers.
     pub(super) fn instances_with_workers<'a>(
@@ -279,10 +294,13 @@
         let Some(function) = self.functions.get_mut(&ended.function) else {
             return;
         };
-        function.confirmed |= outcome == Outcome::Served;
+        if outcome == Outcome::Served {
+            function.confirm();
+        }
         let instance = function.instances.entry(ended.worker).or_default();
         if instance.on_attempt_end(now, outcome, ended.expected.time) {
             self.load_without_effect(now, ended.worker, ended.function, true);
         }
+        self.update_shed_order(ended.function);
     }
 }
--- a/src/router/loading.rs
+++ b/src/router/loading.rs
@@ -184,6 +184,7 @@
         if let Some(function) = self.functions.get_mut(&function_id) {
             function.pending_loads += usize::from(is_first);
         }
+        self.update_shed_order(function_id);
         actions.push(Action::Load {
             worker: worker_id,
             function: function_id,
@@ -262,7 +263,11 @@
         let Some(function) = self.functions.get_mut(&result.function) else {
             return;
         };
-        function.confirmed |= result.instances > 0;
+        if result.instances > 0 {
+            function.confirm();
+        } else if result.outcome == Error && !function.confirmed {
+            function.load_failed = true;
+        }
         let instance = function.instances.entry(result.worker).or_default();
         let load_requested = instance.load_requested.take();
         if load_requested.is_some() {
@@ -281,6 +286,7 @@
             }
             self.learn_load_time(now, &result);
         }
+        self.update_shed_order(result.function);
         self.dispatch_queue(now, result.function, actions);
         self.end_use(result.function);
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -25,6 +25,7 @@
 mod retention;
 mod retry;
 mod selection;
+mod shedding;
 mod workers;
 
 use self::estimate::{DecayingMean, DecayingSum, LatencyEstimate, ServiceTimeRatio};
@@ -33,6 +34,7 @@
 use self::request::Request;
 pub use self::retention::FunctionTableSizes;
 use self::retention::IdleFunctions;
+use self::shedding::ShedKey;
 use self::workers::Worker;
 use crate::{
     Action, Event, FunctionId, InvalidSettings, Micros, Outcome, RequestId, Settings, Time,
@@ -70,6 +72,8 @@
     requests: BTreeMap<RequestId, Request>,
     /// Functions whose queues are not empty.
     functions_waiting: BTreeSet<FunctionId>,
+    /// Functions with queued calls that were never sent, in the order in which these are refused for their connections.
+    shed_order: BTreeSet<ShedKey>,
     /// Requests that are neither answered nor streaming, by deadline.
     deadlines: BTreeSet<(Time, RequestId)>,
     loads: LoadState,
@@ -158,6 +162,9 @@
             Event::StreamStarted { request, .. } => self.on_stream_start(request),
             Event::AttemptEnded(result) => self.on_attempt_result(now, result, actions),
             Event::ClientLeft { request } => self.close_request(request),
+            Event::CapacityNeeded { only_unlikely } => {
+                self.shed_waiting_call(only_unlikely, actions);
+            }
             Event::ProbeEnded {
                 worker, outcome, ..
             } => self.on_probe_result(worker, outcome == Outcome::Served),
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -31,6 +31,11 @@
         ..QueueKey::FIRST
     };
 
+    /// The queued request.
+    pub(super) fn request(self) -> RequestId {
+        self.request
+    }
+
     /// Returns the smallest key after this one.
     fn next(self) -> QueueKey {
         QueueKey {
@@ -83,10 +88,13 @@
         };
         function.queue.remove(&key);
         function.queued_retries.remove(&key);
+        function.unsent.remove(&key);
+        let function_id = request.function;
         if function.queue.is_empty() {
             function.largest_queued_hint = 0;
-            self.functions_waiting.remove(&request.function);
+            self.functions_waiting.remove(&function_id);
         }
+        self.update_shed_order(function_id);
     }
 
     /// Queues a request at its function, behind the calls that can meet their objective if it cannot.
@@ -111,10 +119,14 @@
         function.queue.insert(key);
         let hint = request.work_hint.unwrap_or(0);
         function.largest_queued_hint = function.largest_queued_hint.max(hint);
-        if !request.attempts.is_empty() {
+        if request.attempts.is_empty() {
+            function.unsent.insert(key);
+        } else {
             function.queued_retries.insert(key);
         }
-        self.functions_waiting.insert(request.function);
+        let function_id = request.function;
+        self.functions_waiting.insert(function_id);
+        self.update_shed_order(function_id);
     }
 
     /// Sends the queued calls of a function to free instances and requests loads for the others.
--- a/src/router/retention.rs
+++ b/src/router/retention.rs
@@ -82,6 +82,12 @@
         self.functions.contains_key(&function)
     }
 
+    /// Whether a worker has served a call of a function or reported an instance of it.
+    pub fn is_confirmed(&self, function: FunctionId) -> bool {
+        let function = self.functions.get(&function);
+        function.is_some_and(|function| function.confirmed)
+    }
+
     /// Returns the sizes of the tables of functions, for logs and tests. Visits every function.
     pub fn function_table_sizes(&self) -> FunctionTableSizes {
         let mut sizes = FunctionTableSizes {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -14,5 +14,7 @@
 mod requests;
 #[path = "router/retention.rs"]
 mod retention;
+#[path = "router/shedding.rs"]
+mod shedding;
 #[path = "router/workers.rs"]
 mod workers;
