--- a/net/platform/src/driver/connections.rs
+++ b/net/platform/src/driver/connections.rs
@@ -45,8 +45,7 @@
         if let Some(connection) = pool.find(role, &self.limits, is_usable) {
             return Some(connection);
         }
-        let is_at_capacity = self.worker_connections.get() >= self.limits.max_worker_connections;
-        if is_at_capacity && !self.close_idle_connection() {
+        if !self.make_room_for_connection(role) {
             return None;
         }
         self.next_serial.set(self.next_serial.get() + 1);
@@ -61,6 +60,21 @@
         Some(connection)
     }
 
+    /// Closes an idle connection if another one of this role would exceed a limit. Returns false if there is none to
+    /// close. Load requests take long, so that their connections would otherwise leave none for calls.
+    fn make_room_for_connection(&self, role: ConnectionRole) -> bool {
+        let limits = &self.limits;
+        if role == ConnectionRole::Control {
+            let count = |pool: &Rc<WorkerPool>| pool.count(ConnectionRole::Control);
+            let open: usize = self.pools().iter().map(count).sum();
+            if open >= limits.max_control_connections {
+                return self.close_idle_connection_of(ConnectionRole::Control);
+            }
+        }
+        self.worker_connections.get() < limits.max_worker_connections
+            || self.close_idle_connection()
+    }
+
     fn pool(&self, worker: &str) -> Option<Rc<WorkerPool>> {
         let mut state = self.state.borrow_mut();
         let address = *state.addresses.get(worker)?;
@@ -85,7 +99,12 @@
     }
     /// Closes one idle connection to any worker to free its descriptor. Returns false if there is none.
     fn close_idle_connection(&self) -> bool {
-        self.pools().iter().any(|pool| pool.close_idle_connection())
+        self.close_idle_connection_of(ConnectionRole::Control)
+            || self.close_idle_connection_of(ConnectionRole::Calls)
+    }
+    fn close_idle_connection_of(&self, role: ConnectionRole) -> bool {
+        let pools = self.pools();
+        pools.iter().any(|pool| pool.close_idle_connection(role))
     }
 
     /// Handles the end of a control request.
--- a/net/platform/src/limits.rs
+++ b/net/platform/src/limits.rs
@@ -20,6 +20,8 @@
     pub max_client_connections: usize,
     /// Maximum number of connections to workers.
     pub max_worker_connections: usize,
+    /// Of these, the maximum number for load requests and probes.
+    pub max_control_connections: usize,
 }
 
 /// Descriptors reserved for other uses: the event loop, the listener, logs, the coordinator poll, reloads of the
@@ -47,6 +49,7 @@
             idle_timeout: timeout(settings.policy_limits.keepalive_s, 0.5),
             max_client_connections: available * 2 / 3,
             max_worker_connections: available / 3,
+            max_control_connections: (available / 6).max(1),
         }
     }
 
--- a/net/platform/src/worker_connection/mod.rs
+++ b/net/platform/src/worker_connection/mod.rs
@@ -110,6 +110,10 @@
         }
     }
 
+    /// The kind of requests that it carries.
+    pub fn role(&self) -> ConnectionRole {
+        self.role
+    }
     /// The connection's unique serial number.
     pub fn serial(&self) -> u64 {
         self.serial
--- a/net/platform/src/worker_pool.rs
+++ b/net/platform/src/worker_pool.rs
@@ -69,10 +69,20 @@
             .iter()
             .for_each(|connection| connection.retire());
     }
-    /// Closes an idle connection. Returns false if there is none.
-    pub fn close_idle_connection(&self) -> bool {
+    /// The number of connections of this role that have not ended.
+    pub fn count(&self, role: ConnectionRole) -> usize {
         let connections = self.connections.borrow();
-        let idle = connections.iter().find(|connection| connection.is_idle());
+        let open = connections
+            .iter()
+            .filter(|connection| connection.role() == role && !connection.has_ended());
+        open.count()
+    }
+    /// Closes an idle connection of this role. Returns false if there is none.
+    pub fn close_idle_connection(&self, role: ConnectionRole) -> bool {
+        let connections = self.connections.borrow();
+        let idle = connections
+            .iter()
+            .find(|connection| connection.role() == role && connection.is_idle());
         idle.map(|connection| connection.abort(AttemptOutcome::NeverLeft))
             .is_some()
     }
--- a/programs/gateway/tests/platform/waiting_clients.rs
+++ b/programs/gateway/tests/platform/waiting_clients.rs
@@ -311,3 +311,42 @@
     );
     assert!(process.descriptors() <= SOCKETS);
 }
+
+// Guards against refused calls of loaded functions: load requests that were not answered held all connections to workers.
+#[test]
+fn load_requests_of_unknown_functions_leave_connections_for_calls() {
+    let has_usual_function = |command: &worker::WorkerCommand| {
+        let usual = format!("asset={:016x}", call(0).function);
+        command.words[2].contains(&usual)
+    };
+    // The workers never answer a request to load an unknown function.
+    let silent_on_unknown = move || {
+        Worker::start(Box::new(move |command: &worker::WorkerCommand| {
+            let answer = match command.name() {
+                "provision" if has_usual_function(command) => worker::loaded(command),
+                "fire" => served(command),
+                _ => Vec::new(),
+            };
+            (answer, true)
+        }))
+    };
+    let workers: Vec<Worker> = (0..12).map(|_| silent_on_unknown()).collect();
+    // Eight connections to workers, with one request at a time on each.
+    let process = GatewayProcess::start(&PlatformConfiguration {
+        sockets: SOCKETS,
+        multiplex: 1,
+        ..configuration_for(&workers.iter().collect::<Vec<_>>())
+    });
+    let mut usual = process.warm_client();
+    let waiting = fill_with_waiting_calls(&process, CLIENT_CONNECTIONS - 4);
+    let unknown_loads = || -> usize {
+        let of_worker = |worker: &Worker| worker.commands("provision").len();
+        workers.iter().map(of_worker).sum()
+    };
+    until("workers are asked to load", || unknown_loads() >= 4);
+    for id in 0..50 {
+        let (status, _) = request(&mut usual, process.address, &usual_call(100 + id).text());
+        assert_eq!(status, Some(200), "call {id}");
+    }
+    drop(waiting);
+}
