--- a/programs/gateway/tests/soak.rs
+++ b/programs/gateway/tests/soak.rs
@@ -1,4 +1,4 @@
-//! A short run of the fault soak (`tests/soak`): front end processes under overlapping faults violate no invariant.
+//! A run of the fault soak (`tests/soak`) for a minute: front end processes under overlapping faults violate no invariant.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -12,7 +12,7 @@
         front_ends: 10,
         workers: 6,
         clients: 3,
-        duration: Duration::from_secs(8),
+        duration: Duration::from_secs(60),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
