Descriptor test ends its process when it fails

Need: a failing run of a_lack_of_descriptors_pauses_accepting_but_not_serving left its front end, which held the test's output open, and the caller waited for 20 minutes. The process is now killed when the test ends, as in the other tests; assertions are unchanged.

--- a/programs/gateway/tests/platform/descriptors.rs
+++ b/programs/gateway/tests/platform/descriptors.rs
@@ -6,7 +6,7 @@
 use crate::harness::*;
 use rustix::process::{kill_process, Pid, Signal};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 const SOCKETS: usize = 96;
@@ -174,13 +174,24 @@
     }
 }
 
+/// A process that is killed when the value is dropped. One that outlives a failed test would keep the test's output open.
+struct KilledOnDrop(Child);
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // Both fail only if the process has already exited.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 #[test]
 fn a_lack_of_descriptors_pauses_accepting_but_not_serving() {
     let worker = Worker::plain();
     let reserved = reserve();
     let port = reserved.address();
     let path = write_configuration(&configuration_for(&[&worker]), port);
-    let mut child = Command::new("sh")
+    let child = Command::new("sh")
         .args([
             "-c",
             "ulimit -n 32; exec \"$0\" --platform",
@@ -190,6 +201,7 @@
         .stdout(Stdio::null())
         .spawn()
         .unwrap();
+    let mut child = KilledOnDrop(child);
     until("the front end listens", || {
         std::net::TcpStream::connect(port).is_ok()
     });
@@ -204,12 +216,12 @@
     new.send(&call(3).text());
     assert_eq!(new.answer_status(), Some(200), "on a new connection");
     drop(silent);
-    let ticks = cpu_ticks(child.id());
+    let ticks = cpu_ticks(child.0.id());
     assert!(
         ticks < 60,
         "busy loop: {ticks} hundredths of a second of CPU time"
     );
-    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    kill_process(Pid::from_child(&child.0), Signal::TERM).unwrap();
+    assert_eq!(child.0.wait().unwrap().code(), Some(0));
     std::fs::remove_file(path).unwrap();
 }
