--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)]
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -325,7 +325,8 @@
     /// Requests are taken and none is answered.
     hangs: AtomicBool,
     loaded: Mutex<HashMap<String, Instant>>,
-    loading: Mutex<HashSet<String>>,
+    /// Orders whose load is in progress.
+    loads: AtomicU64,
     load_ms: AtomicU64,
     run_ms: AtomicU64,
     connections: AtomicU64,
@@ -344,7 +345,7 @@
             ended: AtomicBool::new(false),
             hangs: AtomicBool::new(false),
             loaded: Mutex::default(),
-            loading: Mutex::default(),
+            loads: AtomicU64::new(0),
             load_ms: AtomicU64::new(load_ms),
             run_ms: AtomicU64::new(run_ms),
             connections: AtomicU64::new(0),
@@ -388,6 +389,11 @@
         self.shared.hangs.store(hangs, Ordering::SeqCst);
     }
 
+    /// The number of orders whose load is in progress.
+    pub fn loads(&self) -> u64 {
+        self.shared.loads.load(Ordering::SeqCst)
+    }
+
     /// The number of connections that it accepted.
     pub fn connections(&self) -> u64 {
         self.shared.connections.load(Ordering::SeqCst)
@@ -520,7 +526,9 @@
                 thread::spawn(move || {
                     let is_loaded = shared.loaded.lock().unwrap().contains_key(&function);
                     if !is_loaded && wanted != "0" {
+                        shared.loads.fetch_add(1, Ordering::SeqCst);
                         sleep_ms(load_ms);
+                        shared.loads.fetch_sub(1, Ordering::SeqCst);
                         shared
                             .loaded
                             .lock()
