--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -91,6 +91,19 @@
     }
 }
 
+/// Has a process ended at the end of the case.
+pub fn register(child: &Child) {
+    OPEN_PROCESSES.lock().unwrap().push(child.id());
+}
+
+/// Called once a process has ended.
+pub fn unregister(child: &Child) {
+    OPEN_PROCESSES
+        .lock()
+        .unwrap()
+        .retain(|pid| *pid != child.id());
+}
+
 /// Ends all processes of the case, and then this one with the exit code.
 pub fn finish(code: i32) -> ! {
     clean_up();
@@ -996,10 +1009,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        OPEN_PROCESSES
-            .lock()
-            .unwrap()
-            .retain(|pid| *pid != self.child.id());
+        unregister(&self.child);
     }
 }
 
@@ -1028,7 +1038,7 @@
         .stderr(file)
         .spawn();
     let child = child.unwrap_or_else(|error| could_not_run(&error.to_string()));
-    OPEN_PROCESSES.lock().unwrap().push(child.id());
+    register(&child);
     child
 }
 
