--- a/review/standins-2/inference.rs
+++ b/review/standins-2/inference.rs
@@ -311,30 +311,28 @@
 }
 
 impl Gateway {
-    /// Starts a front end with these settings and workers, and waits until it says that it is ready.
+    /// Starts a front end with these settings, workers and further arguments, and waits until it says that it is ready.
     pub fn start(
         root: &Path,
         folder: &Folder,
         settings: &str,
         workers: &[(String, SocketAddr)],
+        more: &[String],
     ) -> Gateway {
-        let (settings_path, workers_path) =
-            (folder.0.join("settings.cue"), folder.0.join("workers.cue"));
-        let lines = workers
-            .iter()
-            .map(|(name, address)| format!("    {{name: {name:?}, address: \"{address}\"}}\n"));
-        let list = format!("workers: [\n{}]\n", lines.collect::<String>());
-        let written = std::fs::write(&settings_path, settings)
-            .and_then(|()| std::fs::write(&workers_path, list));
-        let log = written.and_then(|()| File::create(folder.0.join("gateway.log")));
+        let settings_path = folder.0.join("settings.cue");
+        write_list(folder, workers);
+        let log = std::fs::write(&settings_path, settings)
+            .and_then(|()| File::create(folder.0.join("gateway.log")));
         let log = log.unwrap_or_else(|error| could_not_run(&error.to_string()));
         let mut command = Command::new(root.join("target/release/tansy-gateway"));
         command
             .arg("--settings")
             .arg(&settings_path)
             .arg("--workers")
-            .arg(&workers_path);
-        command.args(["--listen", "127.0.0.1:0", "--http", "127.0.0.1:0"]);
+            .arg(folder.0.join(LIST));
+        command
+            .args(["--listen", "127.0.0.1:0", "--http", "127.0.0.1:0"])
+            .args(more);
         command
             .current_dir(root)
             .stdin(Stdio::null())
@@ -357,6 +355,21 @@
     }
 }
 
+/// The file of the list of workers.
+const LIST: &str = "workers.cue";
+
+/// Replaces the list of workers by a rename.
+pub fn write_list(folder: &Folder, workers: &[(String, SocketAddr)]) {
+    let lines = workers
+        .iter()
+        .map(|(name, address)| format!("    {{name: {name:?}, address: \"{address}\"}}\n"));
+    let list = format!("workers: [\n{}]\n", lines.collect::<String>());
+    let new = folder.0.join("workers.new");
+    let written =
+        std::fs::write(&new, list).and_then(|()| std::fs::rename(&new, folder.0.join(LIST)));
+    written.unwrap_or_else(|error| could_not_run(&error.to_string()));
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
