Review: silent clients take all descriptors of the gRPC front, and calls stay unread

Change: case 10 with its claim and test; a stand-in front end may have a limit on descriptors; a stand-in client's time-out counts from its start.

--- a/review/standins-2/inference.rs
+++ b/review/standins-2/inference.rs
@@ -254,6 +254,7 @@
     if socket.write_all(&bytes).is_err() {
         return CallEnd::Closed;
     }
+    let _ = socket.set_read_timeout(Some(Duration::from_millis(timeout_ms + 1000)));
     let ended = Arc::new(Mutex::new(None));
     let reader = {
         let (ended, socket) = (ended.clone(), socket.try_clone());
@@ -275,7 +276,6 @@
             return end;
         }
     }
-    let _ = socket.set_read_timeout(Some(Duration::from_millis(timeout_ms + 1000)));
     let _ = reader.join();
     let end = ended.lock().unwrap().unwrap_or(CallEnd::Closed);
     end
@@ -322,13 +322,30 @@
         settings: &str,
         workers: &[(String, SocketAddr)],
         more: &[String],
+    ) -> Gateway {
+        Gateway::start_with_descriptors(root, folder, settings, workers, more, None)
+    }
+
+    /// Starts a front end that may hold no more than this number of descriptors.
+    pub fn start_with_descriptors(
+        root: &Path,
+        folder: &Folder,
+        settings: &str,
+        workers: &[(String, SocketAddr)],
+        more: &[String],
+        descriptors: Option<u32>,
     ) -> Gateway {
         let settings_path = folder.0.join("settings.cue");
         write_list(folder, workers);
         let log = std::fs::write(&settings_path, settings)
             .and_then(|()| File::create(folder.0.join("gateway.log")));
         let log = log.unwrap_or_else(|error| could_not_run(&error.to_string()));
-        let mut command = Command::new(root.join("target/release/tansy-gateway"));
+        let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
+        let mut command = Command::new("/bin/sh");
+        command
+            .arg("-c")
+            .arg(format!("{limit}exec target/release/tansy-gateway \"$@\""))
+            .arg("sh");
         command
             .arg("--settings")
             .arg(&settings_path)
